--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+PACKAGES := packages/ragwortpaddled packages/ragwortpaddle packages/standins
+SEED ?= 1
+ROUNDS ?= 3
+
+.PHONY: demo up test lint model history bench capacity clean
+
+$(VENV)/installed: constraints.txt requirements-dev.txt $(addsuffix /pyproject.toml,$(PACKAGES))
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(PYTHON) -m pip install -q --disable-pip-version-check -c constraints.txt \
+		-r requirements-dev.txt $(addprefix -e ,$(PACKAGES))
+	touch $@
+
+demo: $(VENV)/installed
+	$(PYTHON) -m ragwortpaddle_standins.demo
+
+up: $(VENV)/installed
+	$(PYTHON) -m ragwortpaddle_standins.demo --stay
+
+test: $(VENV)/installed
+	$(PYTHON) -m pytest -q
+
+lint: $(VENV)/installed
+	$(PYTHON) -m black -q --check packages tests bench
+	$(PYTHON) -m ruff check -q packages tests bench
+	$(PYTHON) -m mypy
+
+clean:
+	rm -rf $(VENV) out
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each command prints what it measured."""
--- /dev/null
+++ b/packages/ragwortpaddle/src/ragwortpaddle/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/packages/ragwortpaddled/src/ragwortpaddled/__main__.py
@@ -0,0 +1,58 @@
+"""The daemon's command line."""
+
+import asyncio
+import sys
+from pathlib import Path
+
+import defopt
+
+from ragwortpaddled import telemetry
+from ragwortpaddled._daemon import Daemon
+from ragwortpaddled._logs import configure_logging
+from ragwortpaddled._settings import Settings, load_settings
+from ragwortpaddled.errors import SettingsError
+
+EXIT_SETTINGS = 2
+
+
+def serve(settings: Path, *, check: bool = False) -> int:
+    """Run an entry daemon.
+
+    :param settings: the INI file of this daemon
+    :param check: check the settings and end
+    """
+    try:
+        loaded = load_settings(settings)
+        if check:
+            print(f"{settings}: ok")
+            return 0
+        asyncio.run(_run(loaded))
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        return EXIT_SETTINGS
+    return 0
+
+
+async def _run(settings: Settings) -> None:
+    section = settings.telemetry
+    configure_logging(section.log_format, section.log_level)
+    telemetry.configure_telemetry(
+        settings.daemon.name,
+        section.traces,
+        section.trace_file,
+        section.otlp_url,
+        section.sample_ratio,
+    )
+    try:
+        await Daemon(settings).run()
+    finally:
+        telemetry.shutdown_telemetry()
+
+
+def main() -> None:
+    """Run the command."""
+    sys.exit(defopt.run(serve, no_negated_flags=True))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/ragwortpaddled/src/ragwortpaddled/_daemon.py
@@ -0,0 +1,236 @@
+"""One daemon: its parts put together, its start and its end."""
+
+import asyncio
+import logging
+import random
+import signal
+import time
+from collections.abc import Coroutine
+from typing import Any
+
+import msgspec
+
+from ragwortpaddled import telemetry
+from ragwortpaddled._gateway import Gateway
+from ragwortpaddled._settings import Settings
+from ragwortpaddled._status import status_page
+from ragwortpaddled.coordination import (
+    Admission,
+    Directory,
+    Fleet,
+    Generator,
+    Ledger,
+    Membership,
+    PeerLinks,
+    PeerService,
+    Quarantines,
+    RecoveryGate,
+    ReleaseFollower,
+    RetryBudget,
+    ServiceRouter,
+    Services,
+)
+from ragwortpaddled.errors import SettingsError
+from ragwortpaddled.protocol import (
+    STATE_KEY,
+    EngineClient,
+    MemberState,
+    Origin,
+    Platform,
+    ServiceClient,
+    encode_value,
+)
+from ragwortpaddled.state import EndpointTable, GossipTable
+from ragwortpaddled.transport import HttpClient, HttpServer, KeyRing, PeerServer
+
+KEY_RELOAD_SECONDS = 1.0
+LISTING_PATIENCE_SECONDS = 2.0
+DRAIN_TICK_SECONDS = 0.05
+
+logger = logging.getLogger(__name__)
+
+
+class Daemon:
+    """Runs until a signal asks it to end."""
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        section = settings.daemon
+        # Every daemon spreads its work differently, but the same name always alike.
+        randomness = random.Random(section.name)
+        self._keys = KeyRing(settings.peers.key_file)
+        self._http = HttpClient()
+        self._platform = Platform(
+            self._http, settings.platform.url, settings.platform.timeout_ms / 1000
+        )
+        engines = EngineClient(self._http)
+        origin = Origin(
+            section.name, time.time_ns() // 1_000_000, section.data_centre, section.peer_listen
+        )
+        table = GossipTable(origin)
+        table.publish(STATE_KEY, encode_value(MemberState(False, section.listen)))
+        self._links = PeerLinks(self._keys)
+        self._membership = Membership(
+            table,
+            self._links,
+            interval_seconds=settings.peers.gossip_interval_ms / 1000,
+            suspect_after_seconds=settings.peers.suspect_after_ms / 1000,
+            dead_after_seconds=settings.peers.dead_after_ms / 1000,
+            random_source=randomness,
+        )
+        self._releases = ReleaseFollower(self._membership, self._platform, randomness)
+        self._fleet = Fleet(self._membership, self._releases, randomness)
+        self._endpoints = EndpointTable()
+        self._directory = Directory(
+            self._endpoints, self._fleet, self._platform, engines, randomness
+        )
+        self._ledger = Ledger(self._fleet, self._platform)
+        self._admission = Admission(self._fleet, self._endpoints)
+        self._quarantines = Quarantines(self._fleet, self._releases, self._endpoints, engines)
+        self._generator = Generator(
+            self._directory,
+            engines,
+            self._quarantines,
+            RecoveryGate(),
+            section.data_centre,
+            randomness,
+        )
+        self._services = Services(
+            ServiceRouter(self._directory, section.data_centre),
+            ServiceClient(self._http),
+            self._ledger,
+            RetryBudget(),
+        )
+        self._gateway = Gateway(
+            self._releases,
+            self._admission,
+            self._generator,
+            self._services,
+            self._quarantines,
+            settings.limits,
+            self._status,
+        )
+        service = PeerService(self._membership, self._fleet, self._releases, self._ledger)
+        self._peer_server = PeerServer(section.peer_listen, self._keys, service.handle)
+        self._http_server = HttpServer(self._gateway.application(), section.listen)
+        self._tasks: list[asyncio.Task[None]] = []
+        self._stop = asyncio.Event()
+        self._stop_now = asyncio.Event()
+
+    async def run(self) -> None:
+        """Serve until asked to end, then end gracefully."""
+        self._install_signals()
+        await self._start()
+        await self._stop.wait()
+        await self._drain()
+        await self._close()
+
+    def _install_signals(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._take_signal)
+
+    def _take_signal(self) -> None:
+        if self._stop.is_set():
+            self._stop_now.set()
+        self._stop.set()
+
+    async def _start(self) -> None:
+        for address in self._settings.peers.seeds:
+            self._membership.add_contact(address)
+        self._peer_server.start()
+        await self._membership.join()
+        self._keep(self._membership.run())
+        self._keep(self._releases.run())
+        self._keep(self._fleet.run())
+        self._keep(self._directory.run_listing())
+        self._keep(self._directory.run_polling())
+        self._keep(self._admission.run())
+        self._keep(self._quarantines.run())
+        self._keep(self._watch_keys())
+        await self._http_server.start()
+        logger.info("listening on %s", self._settings.daemon.listen)
+
+    def _keep(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        task.add_done_callback(self._note_end)
+        self._tasks.append(task)
+
+    def _note_end(self, task: asyncio.Task[None]) -> None:
+        """End the daemon if one of its duties failed: half a daemon misleads its peers."""
+        if task.cancelled():
+            return
+        error = task.exception()
+        logger.critical("a duty of the daemon ended", exc_info=error)
+        self._stop.set()
+
+    async def _watch_keys(self) -> None:
+        while True:
+            await asyncio.sleep(KEY_RELOAD_SECONDS)
+            try:
+                if self._keys.reload():
+                    logger.info("peer keys reloaded")
+            except SettingsError as error:
+                logger.warning("peer keys not reloaded: %s", error)
+
+    async def _drain(self) -> None:
+        """Say so first, keep listening for the balancer's lag, then finish what runs."""
+        logger.info("shutting down")
+        self._gateway.draining = True
+        section = self._settings.shutdown
+        deadline = time.monotonic() + section.bound_ms / 1000
+        await self._membership.leave(self._settings.daemon.listen)
+        await self._pause(min(section.balancer_lag_ms / 1000, section.bound_ms / 1000))
+        while self._gateway.in_flight and self._may_wait(deadline):
+            await asyncio.sleep(DRAIN_TICK_SECONDS)
+        drain = asyncio.create_task(self._services.drain())
+        while not drain.done() and self._may_wait(deadline):
+            await asyncio.wait([drain], timeout=DRAIN_TICK_SECONDS)
+        drain.cancel()
+        for request_id in sorted(self._gateway.in_flight):
+            telemetry.cut_requests.add(1)
+            logger.warning("request %s is cut off by the end of the daemon", request_id)
+        if self._ledger.unsettled:
+            logger.warning("%d operation outcomes were not recorded", self._ledger.unsettled)
+
+    def _may_wait(self, deadline: float) -> bool:
+        return time.monotonic() < deadline and not self._stop_now.is_set()
+
+    async def _pause(self, seconds: float) -> None:
+        try:
+            await asyncio.wait_for(self._stop_now.wait(), seconds)
+        except TimeoutError:
+            return
+
+    async def _close(self) -> None:
+        if self._gateway.in_flight:
+            self._http_server.abort()
+        await self._http_server.stop()
+        if not self._stop_now.is_set():
+            await self._generator.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._directory.close()
+        await self._ledger.close()
+        await self._membership.close()
+        await self._peer_server.close()
+        self._links.close()
+        await self._http.close()
+        logger.info("ended")
+
+    def _status(self) -> bytes:
+        return msgspec.json.encode(
+            status_page(
+                self._settings.daemon.name,
+                self._fleet,
+                self._releases,
+                self._endpoints,
+                self._quarantines,
+                self._platform,
+                self._links,
+                self._peer_server.refused,
+                self._gateway.in_flight,
+                self._ledger.unsettled,
+            )
+        )
--- /dev/null
+++ b/packages/ragwortpaddled/src/ragwortpaddled/_status.py
@@ -0,0 +1,100 @@
+"""The status that a daemon shows to operators."""
+
+import time
+
+import msgspec
+
+from ragwortpaddled.coordination import Fleet, PeerLinks, Quarantines, ReleaseFollower
+from ragwortpaddled.protocol import Platform, Quarantine
+from ragwortpaddled.state import EndpointTable
+
+
+class MemberStatus(msgspec.Struct, frozen=True):
+    """How another daemon looks from this one."""
+
+    name: str
+    health: str
+    leaving: bool
+    incarnation: int
+
+
+class EndpointStatus(msgspec.Struct, frozen=True):
+    """How an endpoint looks from this daemon."""
+
+    name: str
+    pool: str
+    data_centre: str
+    layers: str
+    circuit: str
+    leaving: bool
+    fresh: bool
+    sequences: int
+    decode_ms: float
+
+
+class DaemonStatus(msgspec.Struct, frozen=True):
+    """The body of ``GET /status``."""
+
+    name: str
+    release: int
+    release_adopted_at: float
+    release_by_daemon: dict[str, int]
+    members: list[MemberStatus]
+    endpoints: list[EndpointStatus]
+    quarantines: list[Quarantine]
+    platform_calls: dict[str, int]
+    peer_messages_sent: int
+    peer_bytes_sent: int
+    peer_bytes_received: int
+    peer_messages_refused: int
+    requests_in_flight: int
+    operations_unsettled: int
+
+
+def status_page(
+    name: str,
+    fleet: Fleet,
+    releases: ReleaseFollower,
+    endpoints: EndpointTable,
+    quarantines: Quarantines,
+    platform: Platform,
+    links: PeerLinks,
+    peer_messages_refused: int,
+    in_flight: set[str],
+    operations_unsettled: int,
+) -> DaemonStatus:
+    """Collect the status of a daemon."""
+    members = fleet.membership.member_by_name.values()
+    now = time.monotonic()
+    return DaemonStatus(
+        name=name,
+        release=releases.number,
+        release_adopted_at=releases.adopted_at,
+        release_by_daemon=fleet.release_by_name(),
+        members=[
+            MemberStatus(m.origin.name, m.health.value, m.leaving, m.origin.incarnation)
+            for m in members
+        ],
+        endpoints=[
+            EndpointStatus(
+                endpoint.name,
+                endpoint.vm.pool,
+                endpoint.vm.data_centre,
+                f"{endpoint.report.first_layer}-{endpoint.report.end_layer}",
+                endpoint.circuit.state.value,
+                endpoint.leaving,
+                endpoint.fresh(now),
+                endpoint.sequences,
+                round(endpoint.decode.mean, 3),
+            )
+            for endpoint in endpoints
+        ],
+        quarantines=quarantines.active(),
+        platform_calls=platform.calls_by_purpose,
+        peer_messages_sent=links.messages_sent,
+        peer_bytes_sent=links.bytes_sent,
+        peer_bytes_received=links.bytes_received,
+        peer_messages_refused=peer_messages_refused,
+        requests_in_flight=len(in_flight),
+        operations_unsettled=operations_unsettled,
+    )
--- /dev/null
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_quarantine.py
@@ -0,0 +1,155 @@
+"""Refuses request contents that have crashed endpoints, in every daemon within seconds."""
+
+import asyncio
+import hashlib
+import logging
+import time
+
+import msgspec
+
+from ragwortpaddled.coordination._releases import ReleaseFollower
+from ragwortpaddled.coordination._summaries import Fleet
+from ragwortpaddled.errors import ConnectionBrokenError, EndpointError, EndpointRefusedError
+from ragwortpaddled.protocol import (
+    BLAME_PREFIX,
+    QUARANTINE_PREFIX,
+    Blame,
+    EngineClient,
+    Quarantine,
+    Refusal,
+    encode_value,
+)
+from ragwortpaddled.state import Crash, EndpointTable, guilty_contents
+
+QUARANTINE_SECONDS = 600.0
+BLAME_SECONDS = 600.0
+CONFIRM_TRIES = 4
+CONFIRM_PAUSE_SECONDS = 0.1
+SWEEP_SECONDS = 1.0
+
+logger = logging.getLogger(__name__)
+
+
+def content_digest(route: str, prompt: str) -> str:
+    """Return the digest by which a request's content is known."""
+    return hashlib.sha256(f"{route}\0{prompt}".encode()).hexdigest()[:32]
+
+
+class Quarantines:
+    """The evidence of crashes and the contents that follow from it."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        releases: ReleaseFollower,
+        endpoints: EndpointTable,
+        engines: EngineClient,
+    ) -> None:
+        self._fleet = fleet
+        self._releases = releases
+        self._endpoints = endpoints
+        self._engines = engines
+        self._quarantine_by_content: dict[str, Quarantine] = {}
+        self._suspects: set[str] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        fleet.membership.on_change(self._judge)
+
+    def active(self) -> list[Quarantine]:
+        """Return the quarantines in force."""
+        return [q for q in self._quarantine_by_content.values() if self._in_force(q)]
+
+    def refuse_if_quarantined(self, content: str) -> None:
+        """Refuse a quarantined content.
+
+        :raises Refusal: it is quarantined
+        """
+        quarantine = self._quarantine_by_content.get(content)
+        if quarantine is None or not self._in_force(quarantine):
+            return
+        raise Refusal(
+            422,
+            "quarantined",
+            f"this request's content {content} crashed {len(quarantine.evidence)} endpoints; "
+            "it is refused until an operator lifts the quarantine or it expires",
+        )
+
+    def is_suspect(self, content: str) -> bool:
+        """Tell whether a content was on an endpoint when it crashed."""
+        return content in self._suspects
+
+    def note_failure(self, content: str, request_id: str, error: EndpointError) -> None:
+        """Take in a failed step; one whose endpoint proves to have crashed is evidence."""
+        if not isinstance(error, ConnectionBrokenError):
+            return
+        self._suspects.add(content)
+        task = asyncio.create_task(self._confirm(content, request_id, error.endpoint, time.time()))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def run(self) -> None:
+        """Drop old evidence for the life of the daemon."""
+        while True:
+            await asyncio.sleep(SWEEP_SECONDS)
+            table = self._fleet.membership.table
+            now = time.time()
+            for key, value in list(table.own.live_entries(BLAME_PREFIX)):
+                if msgspec.msgpack.decode(value, type=Blame).at < now - BLAME_SECONDS:
+                    table.withdraw(BLAME_PREFIX + key)
+            for key, value in list(table.own.live_entries(QUARANTINE_PREFIX)):
+                if msgspec.msgpack.decode(value, type=Quarantine).until < now:
+                    table.withdraw(QUARANTINE_PREFIX + key)
+            self._refresh()
+
+    async def _confirm(self, content: str, request_id: str, name: str, at: float) -> None:
+        """Publish evidence if the endpoint is gone: a broken link alone proves no crash."""
+        endpoint = self._endpoints.get(name)
+        for _ in range(CONFIRM_TRIES):
+            if endpoint is None:
+                break
+            try:
+                await self._engines.status(name, endpoint.vm.address)
+                self._suspects.discard(content)
+                return
+            except EndpointRefusedError:
+                break
+            except EndpointError:
+                await asyncio.sleep(CONFIRM_PAUSE_SECONDS)
+        blame = Blame(content, request_id, name, at)
+        key = f"{BLAME_PREFIX}{content}/{name}/{at:.3f}"
+        self._fleet.membership.table.publish(key, encode_value(blame))
+        logger.warning("endpoint %s crashed while it ran content %s", name, content)
+        self._judge()
+
+    def _judge(self) -> None:
+        for content, crashes in guilty_contents(self._blames()):
+            if content not in self._quarantine_by_content:
+                self._quarantine(content, crashes)
+        self._refresh()
+
+    def _quarantine(self, content: str, crashes: list[Crash]) -> None:
+        now = time.time()
+        evidence = [f"{crash.endpoint} crashed at {crash.at:.3f}" for crash in crashes]
+        quarantine = Quarantine(content, now, now + QUARANTINE_SECONDS, evidence)
+        self._quarantine_by_content[content] = quarantine
+        key = QUARANTINE_PREFIX + content
+        self._fleet.membership.table.publish(key, encode_value(quarantine))
+        logger.warning("content %s is quarantined: %s", content, "; ".join(evidence))
+
+    def _blames(self) -> list[Blame]:
+        table = self._fleet.membership.table
+        return [
+            msgspec.msgpack.decode(value, type=Blame)
+            for name in self._fleet.membership.live()
+            for _, value in table.state_by_name[name].live_entries(BLAME_PREFIX)
+        ]
+
+    def _refresh(self) -> None:
+        now = time.time()
+        known = [*self._fleet.quarantines(), *self._quarantine_by_content.values()]
+        self._quarantine_by_content = {q.content: q for q in known if q.until > now}
+
+    def _in_force(self, quarantine: Quarantine) -> bool:
+        release = self._releases.current
+        if release is not None and quarantine.content in release.objects.lift_by_name:
+            return False
+        return quarantine.until > time.time()
--- /dev/null
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/_peers.py
@@ -0,0 +1,112 @@
+"""The messages between daemons."""
+
+import msgspec
+
+from ragwortpaddled.protocol._gossip import Delta, DigestLine
+from ragwortpaddled.protocol._operations import Change, Judgement
+
+
+class Digest(msgspec.Struct, frozen=True, tag="digest"):
+    """Offers what the sender holds and asks for what it lacks."""
+
+    lines: list[DigestLine]
+
+
+class DigestReply(msgspec.Struct, frozen=True, tag="digest_reply"):
+    """What the asker lacks, and what the replier holds."""
+
+    deltas: list[Delta]
+    lines: list[DigestLine]
+
+
+class Deltas(msgspec.Struct, frozen=True, tag="deltas"):
+    """Entries that the receiver lacks."""
+
+    deltas: list[Delta]
+
+
+class FetchSummary(msgspec.Struct, frozen=True, tag="fetch_summary"):
+    """Swaps the summaries of two data centres."""
+
+    data_centre: str
+    summary: bytes
+
+
+class SummaryReply(msgspec.Struct, frozen=True, tag="summary_reply"):
+    """The summary of the replier's data centre."""
+
+    data_centre: str
+    summary: bytes
+
+
+class FetchRelease(msgspec.Struct, frozen=True, tag="fetch_release"):
+    """Asks for the release in force if it is above a number."""
+
+    above: int
+
+
+class ReleaseReply(msgspec.Struct, frozen=True, tag="release_reply"):
+    """A release in its text form, empty if there is none above the number."""
+
+    text: str
+
+
+class CommitChanges(msgspec.Struct, frozen=True, tag="commit_changes"):
+    """Asks the preferred writer of a shard to commit changes."""
+
+    shard: int
+    changes: list[Change]
+
+
+class ChangesReply(msgspec.Struct, frozen=True, tag="changes_reply"):
+    """The judgement on each change in order; None where it could not be committed."""
+
+    judgements: list[Judgement | None]
+
+
+class Explain(msgspec.Struct, frozen=True, tag="explain"):
+    """Asks what a daemon knows of a request or an object."""
+
+    name: str
+
+
+class ExplainReply(msgspec.Struct, frozen=True, tag="explain_reply"):
+    """Lines of what a daemon knows."""
+
+    lines: list[str]
+
+
+class Acknowledged(msgspec.Struct, frozen=True, tag="acknowledged"):
+    """The message was taken in."""
+
+
+PeerMessage = (
+    Digest
+    | DigestReply
+    | Deltas
+    | FetchSummary
+    | SummaryReply
+    | FetchRelease
+    | ReleaseReply
+    | CommitChanges
+    | ChangesReply
+    | Explain
+    | ExplainReply
+    | Acknowledged
+)
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER: msgspec.msgpack.Decoder[PeerMessage] = msgspec.msgpack.Decoder(PeerMessage)
+
+
+def encode_message(message: PeerMessage) -> bytes:
+    """Return the bytes of a message."""
+    return _ENCODER.encode(message)
+
+
+def decode_message(data: bytes) -> PeerMessage:
+    """Read a message.
+
+    :raises msgspec.MsgspecError: it is malformed
+    """
+    return _DECODER.decode(data)
--- /dev/null
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/_objects_text.py
@@ -0,0 +1,126 @@
+"""The text forms of operators' objects: INI for operators, JSON for the platform."""
+
+from dataclasses import asdict, dataclass, fields
+from pathlib import Path
+
+from pydantic import TypeAdapter, ValidationError
+
+from ragwortpaddled._ini import describe, read_ini
+from ragwortpaddled.errors import ObjectsError
+from ragwortpaddled.state._objects import (
+    OBJECT_TYPES,
+    TYPE_BY_KIND,
+    ObjectSet,
+    OperatorObject,
+)
+
+VERSION_KEY = "version_read"
+
+_ADAPTER_BY_KIND: dict[str, TypeAdapter[OperatorObject]] = {
+    object_type.kind: TypeAdapter(object_type) for object_type in OBJECT_TYPES
+}
+
+
+@dataclass(frozen=True, slots=True)
+class ObjectEdit:
+    """An object of a file and the version it was read at; None where the file names none."""
+
+    item: OperatorObject
+    version_read: int | None
+
+
+def read_objects(paths: list[Path]) -> list[ObjectEdit]:
+    """Read the objects of INI files.
+
+    :raises ObjectsError: with a line for each malformed object
+    """
+    edits: list[ObjectEdit] = []
+    problems: list[str] = []
+    for path in paths:
+        parser = read_ini(path)
+        for section in parser.sections():
+            values = dict(parser[section])
+            version_read = values.pop(VERSION_KEY, None)
+            try:
+                item = parse_object(section, values)
+                edits.append(ObjectEdit(item, None if version_read is None else int(version_read)))
+            except ValidationError as error:
+                problems.extend(describe(error, str(path), (section,)))
+            except (ObjectsError, ValueError) as error:
+                problems.append(f"{path}: [{section}]: {error}")
+    if problems:
+        raise ObjectsError("\n".join(problems))
+    return edits
+
+
+def parse_object(section: str, values: dict[str, str]) -> OperatorObject:
+    """Return the object of one ``kind:name`` section.
+
+    :raises ObjectsError: the section's name is malformed
+    :raises pydantic.ValidationError: a value is
+    """
+    kind, _, name = section.partition(":")
+    adapter = _ADAPTER_BY_KIND.get(kind)
+    if adapter is None or not name:
+        kinds = ", ".join(TYPE_BY_KIND)
+        raise ObjectsError(f"a section is named KIND:NAME, with KIND one of {kinds}")
+    return adapter.validate_python({"name": name, **values})
+
+
+def write_object(item: OperatorObject, version: int | None = None) -> str:
+    """Return the INI section of an object, leaving out defaults."""
+    lines = [f"[{item.kind}:{item.name}]"]
+    if version is not None:
+        lines.append(f"{VERSION_KEY} = {version}")
+    for spec in fields(item):
+        value = getattr(item, spec.name)
+        if spec.name == "name" or value == spec.default:
+            continue
+        lines.append(f"{spec.name} = {_format(value)}")
+    return "\n".join(lines) + "\n"
+
+
+def encode_object(item: OperatorObject) -> str:
+    """Return the JSON form of one object."""
+    return _ADAPTER_BY_KIND[item.kind].dump_json(item).decode()
+
+
+def decode_object(kind: str, text: str) -> OperatorObject:
+    """Read the JSON form of one object.
+
+    :raises ObjectsError: it is malformed
+    """
+    adapter = _ADAPTER_BY_KIND.get(kind)
+    if adapter is None:
+        raise ObjectsError(f"unknown kind {kind}")
+    try:
+        return adapter.validate_json(text)
+    except ValidationError as error:
+        raise ObjectsError("; ".join(describe(error, kind))) from error
+
+
+def collect(items: list[OperatorObject]) -> ObjectSet:
+    """Return the set of some objects; a later one replaces an earlier one of its name."""
+    tables: dict[str, dict[str, OperatorObject]] = {kind: {} for kind in TYPE_BY_KIND}
+    for item in items:
+        tables[item.kind][item.name] = item
+    named = {f"{kind}_by_name": table for kind, table in tables.items()}
+    return ObjectSet(**named)  # type: ignore[arg-type]
+
+
+def differing_fields(ours: OperatorObject, theirs: OperatorObject) -> list[str]:
+    """Return a line for each field in which two objects of a kind differ."""
+    our_values, their_values = asdict(ours), asdict(theirs)
+    return [
+        f"{name}: yours {_format(value)!r}, current {_format(their_values[name])!r}"
+        for name, value in our_values.items()
+        if value != their_values[name]
+    ]
+
+
+def _format(value: object) -> str:
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, tuple):
+        return ", ".join(value)
+    return str(value)
--- /dev/null
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/_operations.py
@@ -0,0 +1,109 @@
+"""Records of operations that run at most once, and the rules by which they change.
+
+Every change of a shard is one of these rules applied to its records, followed by a conditional
+write of the shard's object. The rules hold whoever applies them; which daemon writes a shard is
+only a matter of efficiency.
+"""
+
+import hashlib
+from collections.abc import Mapping, MutableMapping
+
+import xxhash
+
+from ragwortpaddled.protocol import (
+    Completion,
+    Intent,
+    Judgement,
+    OperationRecord,
+    OperationState,
+    Verdict,
+)
+
+SHARD_COUNT = 8
+MAX_KEY_BYTES = 200
+MAX_RECORDED_BODY_BYTES = 4096
+UUID7_LENGTH = 36
+UUID7_VERSION_INDEX = 14
+
+
+def operation_key(team: str, route: str, idempotency_key: str) -> str:
+    """Return the key of an operation's record."""
+    text = f"{len(team)}:{team}{len(route)}:{route}{idempotency_key}"
+    return hashlib.sha256(text.encode()).hexdigest()[:32]
+
+
+def shard_of(key: str) -> int:
+    """Return the shard that holds a key's record."""
+    return xxhash.xxh32_intdigest(key.encode()) % SHARD_COUNT
+
+
+def judge_intent(record: OperationRecord | None, intent: Intent) -> Judgement:
+    """Decide whether an attempt may run, given the key's record."""
+    if record is None:
+        return Judgement(Verdict.GRANTED)
+    if record.body_digest != intent.body_digest:
+        return Judgement(Verdict.KEY_REUSED, record)
+    if record.state is OperationState.DONE:
+        return Judgement(Verdict.FINISHED, record)
+    if record.state is OperationState.INTENT:
+        same = record.attempt == intent.attempt
+        return Judgement(Verdict.GRANTED if same else Verdict.IN_DOUBT, record)
+    # A late copy of an attempt that was already given up must not be granted after all.
+    if record.attempt == intent.attempt:
+        return Judgement(Verdict.STALE, record)
+    return Judgement(Verdict.GRANTED)
+
+
+def apply_intent(
+    record_by_key: MutableMapping[str, OperationRecord],
+    older: Mapping[str, OperationRecord],
+    intent: Intent,
+) -> Judgement:
+    """Judge an intent and record it if it is granted."""
+    record = record_by_key.get(intent.key) or older.get(intent.key)
+    judgement = judge_intent(record, intent)
+    if judgement.verdict is Verdict.GRANTED:
+        record_by_key[intent.key] = OperationRecord(
+            intent.key,
+            intent.attempt,
+            OperationState.INTENT,
+            intent.body_digest,
+            intent.at,
+            intent.expires_at,
+        )
+    return judgement
+
+
+def apply_completion(
+    record_by_key: MutableMapping[str, OperationRecord],
+    older: Mapping[str, OperationRecord],
+    completion: Completion,
+) -> Judgement:
+    """Record what became of an attempt, unless another attempt has the key."""
+    record = record_by_key.get(completion.key) or older.get(completion.key)
+    if record is not None and record.attempt != completion.attempt:
+        return Judgement(Verdict.STALE, record)
+    if record is not None and record.state is not OperationState.INTENT:
+        return Judgement(Verdict.FINISHED, record)
+    state = OperationState.NOT_RUN if completion.outcome is None else OperationState.DONE
+    record_by_key[completion.key] = OperationRecord(
+        completion.key,
+        completion.attempt,
+        state,
+        completion.body_digest,
+        completion.at,
+        completion.expires_at,
+        completion.outcome,
+    )
+    return Judgement(Verdict.GRANTED)
+
+
+def key_date(idempotency_key: str) -> float | None:
+    """Return the date within a UUID version 7 in seconds of the Unix epoch, if it is one."""
+    text = idempotency_key.lower()
+    if len(text) != UUID7_LENGTH or text[UUID7_VERSION_INDEX] != "7":
+        return None
+    try:
+        return int(text[:8] + text[9:13], 16) / 1000
+    except ValueError:
+        return None
--- /dev/null
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/_shard.py
@@ -0,0 +1,132 @@
+"""One shard of the operations' records: a head object and sealed, immutable segments.
+
+The head's conditional update is the fence for the whole shard: a cache of the segments is
+complete as long as the head's version is the one that the cache was built from.
+"""
+
+import secrets
+from collections import ChainMap
+from dataclasses import dataclass, field
+from functools import singledispatchmethod
+
+import msgspec
+
+from ragwortpaddled.protocol import (
+    Change,
+    Completion,
+    Intent,
+    Judgement,
+    OperationRecord,
+    Verdict,
+)
+from ragwortpaddled.state._operations import apply_completion, apply_intent
+
+SEAL_BYTES = 256 * 1024
+MAX_SEGMENTS = 256
+
+
+class SegmentRef(msgspec.Struct, frozen=True, array_like=True):
+    """Names a sealed segment; ``expires_at`` is that of its last record to expire."""
+
+    key: str
+    expires_at: float
+
+
+class ShardHead(msgspec.Struct, frozen=True):
+    """The value of a shard's head object; ``write_id`` tells whose write it was."""
+
+    write_id: str
+    segments: list[SegmentRef]
+    records: list[OperationRecord]
+
+
+def head_key(shard: int) -> str:
+    """Return the platform key of a shard's head."""
+    return f"operations/{shard:03d}/head"
+
+
+def new_segment_key(shard: int) -> str:
+    """Return a fresh platform key for a sealed segment."""
+    return f"operations/{shard:03d}/segments/{secrets.token_hex(8)}"
+
+
+@dataclass(slots=True)
+class Shard:
+    """The records of a shard as of one version of its head."""
+
+    version: int = 0
+    segments: list[SegmentRef] = field(default_factory=list)
+    record_by_key: dict[str, OperationRecord] = field(default_factory=dict)
+    sealed_by_segment: dict[str, dict[str, OperationRecord]] = field(default_factory=dict)
+
+    @property
+    def sealed(self) -> ChainMap[str, OperationRecord]:
+        """Return the sealed records, the newest segment's first."""
+        newest_first = reversed(self.segments)
+        return ChainMap(*(self.sealed_by_segment[segment.key] for segment in newest_first))
+
+    def find(self, key: str) -> OperationRecord | None:
+        """Return the record of a key."""
+        return self.record_by_key.get(key) or self.sealed.get(key)
+
+    def draft(self, now: float) -> "ShardDraft":
+        """Return a copy to change, without expired records."""
+        records = {
+            key: record for key, record in self.record_by_key.items() if record.expires_at > now
+        }
+        segments = [segment for segment in self.segments if segment.expires_at > now]
+        return ShardDraft(records, segments, self.sealed)
+
+    def adopt(self, head: ShardHead, version: int) -> None:
+        """Become the state of a head whose segments are all loaded."""
+        self.version = version
+        self.segments = head.segments
+        self.record_by_key = {record.key: record for record in head.records}
+        wanted = {segment.key for segment in head.segments}
+        for key in set(self.sealed_by_segment) - wanted:
+            del self.sealed_by_segment[key]
+
+
+@dataclass(slots=True)
+class ShardDraft:
+    """The next state of a shard, not yet written."""
+
+    record_by_key: dict[str, OperationRecord]
+    segments: list[SegmentRef]
+    sealed: ChainMap[str, OperationRecord]
+    changed: bool = False
+
+    def apply(self, change: Change) -> Judgement:
+        """Apply a change and note whether it needs a write."""
+        judgement = self._apply(change)
+        self.changed |= judgement.verdict is Verdict.GRANTED
+        return judgement
+
+    @singledispatchmethod
+    def _apply(self, change: Change) -> Judgement:
+        raise NotImplementedError(type(change))
+
+    @_apply.register
+    def _(self, change: Intent) -> Judgement:
+        return apply_intent(self.record_by_key, self.sealed, change)
+
+    @_apply.register
+    def _(self, change: Completion) -> Judgement:
+        return apply_completion(self.record_by_key, self.sealed, change)
+
+    @property
+    def full(self) -> bool:
+        """Tell whether the shard can take no more segments."""
+        return len(self.segments) >= MAX_SEGMENTS
+
+    def head(self) -> ShardHead:
+        """Return the head to write."""
+        return ShardHead(secrets.token_hex(8), self.segments, list(self.record_by_key.values()))
+
+    def seal(self, segment_key: str) -> list[OperationRecord]:
+        """Move the head's records to a segment and return them."""
+        records = list(self.record_by_key.values())
+        expires_at = max(record.expires_at for record in records)
+        self.segments = [*self.segments, SegmentRef(segment_key, expires_at)]
+        self.record_by_key = {}
+        return records
--- /dev/null
+++ b/packages/ragwortpaddled/src/ragwortpaddled/telemetry.py
@@ -0,0 +1,103 @@
+"""Traces and metrics by OpenTelemetry; exporters are chosen in the settings."""
+
+import logging
+from pathlib import Path
+
+from opentelemetry import metrics, propagate, trace
+from opentelemetry.exporter.otlp.proto.http.trace_exporter import OTLPSpanExporter
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.trace import TracerProvider
+from opentelemetry.sdk.trace.export import (
+    BatchSpanProcessor,
+    ConsoleSpanExporter,
+    SpanExporter,
+)
+from opentelemetry.sdk.trace.sampling import ParentBased, TraceIdRatioBased
+from prometheus_client import REGISTRY, generate_latest
+
+SPAN_EXPORT_INTERVAL_MS = 500
+
+tracer = trace.get_tracer("ragwortpaddled")
+_meter = metrics.get_meter("ragwortpaddled")
+
+requests = _meter.create_counter("ragwortpaddle_requests", description="Requests by outcome")
+refusals = _meter.create_counter("ragwortpaddle_refusals", description="Refusals by code")
+tokens = _meter.create_counter("ragwortpaddle_tokens", description="Tokens relayed to callers")
+exchanges = _meter.create_counter("ragwortpaddle_step_exchanges", description="Step exchanges")
+steps = _meter.create_counter("ragwortpaddle_steps", description="Steps sent to engines")
+dropped_replies = _meter.create_counter(
+    "ragwortpaddle_dropped_replies", description="Step replies that answer no open step"
+)
+recoveries = _meter.create_counter(
+    "ragwortpaddle_recoveries", description="Attempts started after the first, by cause"
+)
+circuit_changes = _meter.create_counter(
+    "ragwortpaddle_circuit_changes", description="Circuits opened and closed"
+)
+ledger_writes = _meter.create_counter(
+    "ragwortpaddle_operation_writes", description="Writes of operation shards by result"
+)
+peer_refusals = _meter.create_counter(
+    "ragwortpaddle_peer_refusals", description="Peer messages that failed authentication"
+)
+implausible_reports = _meter.create_counter(
+    "ragwortpaddle_implausible_reports", description="Load reports that were set aside"
+)
+cut_requests = _meter.create_counter(
+    "ragwortpaddle_cut_requests", description="Requests cut off by the shutdown bound"
+)
+
+
+def trace_headers() -> list[tuple[bytes, bytes]]:
+    """Return the W3C headers of the current span, none where there is no trace."""
+    if not trace.get_current_span().get_span_context().is_valid:
+        return []
+    carrier: dict[str, str] = {}
+    propagate.inject(carrier)
+    return [(name.encode(), value.encode()) for name, value in carrier.items()]
+
+
+def configure_telemetry(
+    daemon: str, traces: str, trace_file: Path | None, otlp_url: str, sample_ratio: float
+) -> None:
+    """Install the exporters; without any, spans cost next to nothing."""
+    resource = Resource.create({"service.name": "ragwortpaddled", "service.instance.id": daemon})
+    metrics.set_meter_provider(
+        MeterProvider(metric_readers=[PrometheusMetricReader()], resource=resource)
+    )
+    exporter = _span_exporter(traces, trace_file, otlp_url)
+    if exporter is None:
+        return
+    provider = TracerProvider(
+        resource=resource, sampler=ParentBased(TraceIdRatioBased(sample_ratio))
+    )
+    provider.add_span_processor(
+        BatchSpanProcessor(exporter, schedule_delay_millis=SPAN_EXPORT_INTERVAL_MS)
+    )
+    trace.set_tracer_provider(provider)
+    logging.getLogger("opentelemetry").setLevel(logging.ERROR)
+
+
+def shutdown_telemetry() -> None:
+    """Export what is left."""
+    provider = trace.get_tracer_provider()
+    if isinstance(provider, TracerProvider):
+        provider.shutdown()
+
+
+def prometheus_text() -> bytes:
+    """Return the metrics in Prometheus' text form."""
+    return generate_latest(REGISTRY)
+
+
+def _span_exporter(traces: str, trace_file: Path | None, otlp_url: str) -> SpanExporter | None:
+    if traces == "none":
+        return None
+    if traces == "otlp":
+        return OTLPSpanExporter(endpoint=otlp_url)
+    if traces == "file" and trace_file is not None:
+        out = trace_file.open("a", buffering=1)
+        return ConsoleSpanExporter(out=out, formatter=lambda span: span.to_json(indent=None) + "\n")
+    return ConsoleSpanExporter()
--- /dev/null
+++ b/packages/standins/src/ragwortpaddle_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, the model engines and the plain services."""
--- /dev/null
+++ b/packages/standins/src/ragwortpaddle_standins/engine.py
@@ -0,0 +1,469 @@
+"""Stand-in for a model engine that holds a range of layers.
+
+It batches continuously, keeps sequences and a bounded prefix cache, honours priorities and
+cancels, exports and imports KV, and reports its load with a lag. ``/faults`` orders a freeze, a
+slow pace, a slow link, a crash on a poison prompt, and stale, duplicate or crossed replies.
+"""
+
+import asyncio
+import os
+from collections import OrderedDict
+
+import defopt
+import msgspec
+from blacksheep import Application, Content, Request, Response
+
+from ragwortpaddle_standins import model
+from ragwortpaddle_standins._server import reply, serve
+
+PACE_BY_ACCELERATOR = {"fast": 1.0, "medium": 2.0, "slow": 4.0}
+BATCH_BASE_MS = 4.0
+DECODE_MS_PER_SEQUENCE = 0.05
+PREFILL_MS_PER_TOKEN = 0.1
+PREFIX_BLOCK_TOKENS = 16
+MAX_PREFIX_ENTRIES = 512
+MAX_SEQUENCES = 4096
+MAX_LOGGED_EXECUTIONS = 200_000
+MSGPACK = b"application/msgpack"
+
+
+class Step(msgspec.Struct):
+    """One step of one sequence: its new positions through this engine's layers."""
+
+    request: str
+    attempt: int
+    position: int
+    first_layer: int
+    end_layer: int
+    prompt: str = ""
+    tokens: list[int] = []
+    hidden: list[int] = []
+    priority: int = 0
+
+
+class StepResult(msgspec.Struct):
+    """The outcome of one step; ``token`` is set by the stage that holds the last layer."""
+
+    request: str
+    attempt: int
+    position: int
+    first_layer: int
+    end_layer: int
+    hidden: list[int] = []
+    token: int = -1
+    text: str = ""
+    end: bool = False
+    error: str = ""
+
+
+class LoadReport(msgspec.Struct):
+    """What an engine says of itself, as it was one lag ago."""
+
+    model: str
+    version: str
+    first_layer: int
+    end_layer: int
+    layers: int
+    accelerator: str
+    max_batch: int
+    active: int
+    waiting: int
+    step_ms: float
+    prefill_ms_per_token: float
+    leaving: bool
+    fencing: int
+    sequences: float = 0
+    age_ms: float = 0.0
+
+
+class StepsRequest(msgspec.Struct):
+    """Many sequences' steps in one exchange."""
+
+    steps: list[Step]
+
+
+class StepsReply(msgspec.Struct):
+    """The results of an exchange, in any order."""
+
+    results: list[StepResult]
+    load: LoadReport
+
+
+class SequenceRef(msgspec.Struct):
+    """Names one attempt of one request."""
+
+    request: str
+    attempt: int
+
+
+class KvExport(msgspec.Struct):
+    """The KV state of one attempt."""
+
+    request: str
+    attempt: int
+    position: int
+    first_layer: int
+    end_layer: int
+    values: list[int]
+
+
+class Order(msgspec.Struct):
+    """An order to load a model version; a lower fencing number than seen before is stale."""
+
+    fencing: int
+    model: str
+    version: str
+
+
+class Execution(msgspec.Struct):
+    """One executed step, for the history checker."""
+
+    request: str
+    attempt: int
+    position: int
+    count: int
+    first_layer: int
+    end_layer: int
+
+
+class Faults(msgspec.Struct):
+    """Faults in force; the counts go down with each exchange."""
+
+    frozen: bool = False
+    slow_factor: float = 1.0
+    link_delay_ms: float = 0.0
+    poison: str = ""
+    duplicate_replies: int = 0
+    crossed_replies: int = 0
+    drop_replies: int = 0
+    load_override: dict[str, float] = {}
+    stale_load_ms: float = 0.0
+
+
+class _Sequence:
+    """The KV state of one attempt on this engine."""
+
+    def __init__(self, layers: int) -> None:
+        self.position = 0
+        self.kv_by_layer = [0] * layers
+
+
+class _Pending:
+    """A step that waits for its batch."""
+
+    def __init__(self, step: Step, order: int) -> None:
+        self.step = step
+        self.order = order
+        self.done: asyncio.Future[StepResult] = asyncio.get_running_loop().create_future()
+
+    def sort_key(self) -> tuple[int, int]:
+        return (-self.step.priority, self.order)
+
+
+class Engine:
+    """The sequences, the batch loop and the faults of one engine."""
+
+    def __init__(self, report: LoadReport, check_fencing: bool, report_lag_ms: float) -> None:
+        self.report = report
+        self.check_fencing = check_fencing
+        self.report_lag_ms = report_lag_ms
+        self.pace = PACE_BY_ACCELERATOR[report.accelerator]
+        self.sequence_by_key: OrderedDict[tuple[str, int], _Sequence] = OrderedDict()
+        self.prefix_cache: OrderedDict[int, None] = OrderedDict()
+        self.pending: list[_Pending] = []
+        self.wake = asyncio.Event()
+        self.faults = Faults()
+        self.executions: list[Execution] = []
+        self.cancelled: list[SequenceRef] = []
+        self.orders: list[Order] = []
+        self.orders_refused = 0
+        self.order_count = 0
+        self.visible = report
+        self.last_reply: list[StepResult] = []
+
+    def submit(self, step: Step) -> _Pending:
+        """Queue a step for the next batch."""
+        self.order_count += 1
+        pending = _Pending(step, self.order_count)
+        self.pending.append(pending)
+        self.wake.set()
+        return pending
+
+    async def run_batches(self) -> None:
+        """Run the batch loop for the life of the process."""
+        while True:
+            if not self.pending:
+                self.wake.clear()
+                self.report.active = 0
+                await self.wake.wait()
+            while self.faults.frozen:
+                await asyncio.sleep(0.01)
+            self.pending = [item for item in self.pending if not item.done.cancelled()]
+            self.pending.sort(key=_Pending.sort_key)
+            batch = self.pending[: self.report.max_batch]
+            del self.pending[: len(batch)]
+            if not batch:
+                continue
+            self.report.active = len(batch)
+            self.report.waiting = len(self.pending)
+            cost_ms = BATCH_BASE_MS + sum(self._cost_ms(item.step) for item in batch)
+            cost_ms *= self.pace * self.faults.slow_factor
+            await asyncio.sleep(cost_ms / 1000)
+            self.report.step_ms = 0.8 * self.report.step_ms + 0.2 * cost_ms
+            for item in batch:
+                if not item.done.done():
+                    item.done.set_result(self._execute(item.step))
+
+    def _cost_ms(self, step: Step) -> float:
+        count = len(step.hidden) or len(model.tokenize(step.prompt)) + len(step.tokens)
+        if count <= 1:
+            return DECODE_MS_PER_SEQUENCE
+        cached = self._cached_positions(step)
+        return PREFILL_MS_PER_TOKEN * max(1, count - cached)
+
+    def _cached_positions(self, step: Step) -> int:
+        inputs = self._inputs(step)
+        cached = 0
+        for end in range(PREFIX_BLOCK_TOKENS, len(inputs) + 1, PREFIX_BLOCK_TOKENS):
+            digest = hash(tuple(inputs[:end]))
+            if digest in self.prefix_cache:
+                cached = end
+                self.prefix_cache.move_to_end(digest)
+            else:
+                self.prefix_cache[digest] = None
+        while len(self.prefix_cache) > MAX_PREFIX_ENTRIES:
+            self.prefix_cache.popitem(last=False)
+        return cached
+
+    def _inputs(self, step: Step) -> list[int]:
+        if step.first_layer > 0:
+            return step.hidden
+        return model.tokenize(step.prompt) + step.tokens
+
+    def _execute(self, step: Step) -> StepResult:
+        result = StepResult(
+            step.request, step.attempt, step.position, step.first_layer, step.end_layer
+        )
+        report = self.report
+        if (step.first_layer, step.end_layer) != (report.first_layer, report.end_layer):
+            result.error = "wrong layers"
+            return result
+        key = (step.request, step.attempt)
+        sequence = self.sequence_by_key.get(key)
+        if sequence is None:
+            sequence = _Sequence(report.end_layer - report.first_layer)
+            if step.position > 0:
+                result.error = "unknown sequence"
+                return result
+            self.sequence_by_key[key] = sequence
+            if len(self.sequence_by_key) > MAX_SEQUENCES:
+                self.sequence_by_key.popitem(last=False)
+        if sequence.position != step.position:
+            result.error = "wrong position"
+            return result
+        inputs = self._inputs(step)
+        sequence.kv_by_layer, outputs = model.step_layers(
+            sequence.kv_by_layer, report.first_layer, inputs
+        )
+        sequence.position += len(inputs)
+        if len(self.executions) < MAX_LOGGED_EXECUTIONS:
+            self.executions.append(
+                Execution(*key, step.position, len(inputs), step.first_layer, step.end_layer)
+            )
+        if report.end_layer < report.layers:
+            result.hidden = outputs
+            return result
+        result.hidden = [len(inputs)]
+        result.token = model.next_token(outputs[-1])
+        result.text = model.piece(result.token)
+        result.end = result.token == model.END_TOKEN
+        if result.end:
+            result.text = ""
+        return result
+
+    async def refresh_report(self) -> None:
+        """Publish the load report once a lag."""
+        while True:
+            self.report.sequences = len(self.sequence_by_key)
+            if not self.faults.stale_load_ms:
+                self.visible = msgspec.structs.replace(self.report)
+            await asyncio.sleep(self.report_lag_ms / 1000)
+
+    def load(self) -> LoadReport:
+        """Return the load report that callers see."""
+        report = msgspec.structs.replace(
+            self.visible, leaving=self.report.leaving, age_ms=self.faults.stale_load_ms
+        )
+        for name, value in self.faults.load_override.items():
+            setattr(report, name, value)
+        return report
+
+    def cancel(self, reference: SequenceRef) -> None:
+        """Drop the state and the queued steps of an attempt."""
+        self.cancelled.append(reference)
+        key = (reference.request, reference.attempt)
+        self.sequence_by_key.pop(key, None)
+        for item in self.pending:
+            if (item.step.request, item.step.attempt) == key and not item.done.done():
+                item.done.cancel()
+
+
+def build(engine: Engine) -> Application:
+    """Build the engine's HTTP application."""
+    application = Application()
+    router = application.router
+
+    async def steps(request: Request) -> Response:
+        message = msgspec.msgpack.decode(await request.read() or b"", type=StepsRequest)
+        faults = engine.faults
+        if faults.poison and any(faults.poison in step.prompt for step in message.steps):
+            os._exit(3)
+        if faults.link_delay_ms:
+            await asyncio.sleep(faults.link_delay_ms / 1000)
+        pending = [engine.submit(step) for step in message.steps]
+        await asyncio.wait([item.done for item in pending])
+        results = [item.done.result() for item in pending if not item.done.cancelled()]
+        answer = list(results)
+        if faults.duplicate_replies > 0:
+            faults.duplicate_replies -= 1
+            answer = answer + answer
+        if faults.crossed_replies > 0 and engine.last_reply:
+            faults.crossed_replies -= 1
+            answer = engine.last_reply + answer
+        engine.last_reply = results
+        if faults.drop_replies > 0:
+            faults.drop_replies -= 1
+            answer = []
+        body = msgspec.msgpack.encode(StepsReply(answer, engine.load()))
+        return Response(200, content=Content(MSGPACK, body))
+
+    async def status(_request: Request) -> Response:
+        while engine.faults.frozen:
+            await asyncio.sleep(0.01)
+        return reply(engine.load())
+
+    async def cancel(request: Request) -> Response:
+        for reference in msgspec.json.decode(await request.read() or b"", type=list[SequenceRef]):
+            engine.cancel(reference)
+        return reply({})
+
+    async def export_kv(request: Request) -> Response:
+        reference = msgspec.json.decode(await request.read() or b"", type=SequenceRef)
+        sequence = engine.sequence_by_key.get((reference.request, reference.attempt))
+        if sequence is None:
+            return reply({"error": "unknown sequence"}, 404)
+        report = engine.report
+        export = KvExport(
+            reference.request,
+            reference.attempt,
+            sequence.position,
+            report.first_layer,
+            report.end_layer,
+            sequence.kv_by_layer,
+        )
+        return Response(200, content=Content(MSGPACK, msgspec.msgpack.encode(export)))
+
+    async def import_kv(request: Request) -> Response:
+        export = msgspec.msgpack.decode(await request.read() or b"", type=KvExport)
+        report = engine.report
+        if (export.first_layer, export.end_layer) != (report.first_layer, report.end_layer):
+            return reply({"error": "wrong layers"}, 409)
+        sequence = _Sequence(0)
+        sequence.position = export.position
+        sequence.kv_by_layer = export.values
+        engine.sequence_by_key[(export.request, export.attempt)] = sequence
+        return reply({})
+
+    async def order(request: Request) -> Response:
+        message = msgspec.json.decode(await request.read() or b"", type=Order)
+        if engine.check_fencing and message.fencing < engine.report.fencing:
+            engine.orders_refused += 1
+            return reply({"error": "stale fencing number"}, 409)
+        engine.report.fencing = max(engine.report.fencing, message.fencing)
+        engine.report.model = message.model
+        engine.report.version = message.version
+        engine.orders.append(message)
+        return reply({})
+
+    async def order_faults(request: Request) -> Response:
+        engine.faults = msgspec.json.decode(await request.read() or b"", type=Faults)
+        return reply({})
+
+    async def leave(_request: Request) -> Response:
+        engine.report.leaving = True
+        return reply({})
+
+    async def history(_request: Request) -> Response:
+        return reply(
+            {
+                "executions": engine.executions,
+                "cancelled": engine.cancelled,
+                "orders": engine.orders,
+                "orders_refused": engine.orders_refused,
+                "open_sequences": len(engine.sequence_by_key),
+            }
+        )
+
+    async def start(_application: Application) -> None:
+        engine.tasks = [  # type: ignore[attr-defined]
+            asyncio.create_task(engine.run_batches()),
+            asyncio.create_task(engine.refresh_report()),
+        ]
+
+    application.on_start += start
+    router.add_post("/v1/steps", steps)
+    router.add_get("/v1/status", status)
+    router.add_post("/v1/cancel", cancel)
+    router.add_post("/v1/kv/export", export_kv)
+    router.add_post("/v1/kv/import", import_kv)
+    router.add_post("/v1/orders", order)
+    router.add_post("/faults", order_faults)
+    router.add_post("/leave", leave)
+    router.add_get("/history", history)
+    return application
+
+
+def main(
+    *,
+    listen: str,
+    model_name: str,
+    layers: int,
+    first_layer: int,
+    end_layer: int,
+    accelerator: str = "fast",
+    max_batch: int = 64,
+    ignore_fencing: bool = False,
+    report_lag_ms: float = 250.0,
+) -> None:
+    """Run an engine stand-in.
+
+    :param listen: host:port to serve on
+    :param model_name: the model whose layers it holds
+    :param layers: how many layers the model has
+    :param first_layer: the first layer it holds
+    :param end_layer: one past the last layer it holds
+    :param accelerator: fast, medium or slow
+    :param max_batch: sequences in one batch
+    :param ignore_fencing: accept orders with an old fencing number
+    :param report_lag_ms: how far the load report lags
+    """
+    report = LoadReport(
+        model=model_name,
+        version="1",
+        first_layer=first_layer,
+        end_layer=end_layer,
+        layers=layers,
+        accelerator=accelerator,
+        max_batch=max_batch,
+        active=0,
+        waiting=0,
+        step_ms=BATCH_BASE_MS * PACE_BY_ACCELERATOR[accelerator],
+        prefill_ms_per_token=PREFILL_MS_PER_TOKEN * PACE_BY_ACCELERATOR[accelerator],
+        leaving=False,
+        fencing=0,
+    )
+    serve(build(Engine(report, not ignore_fencing, report_lag_ms)), listen)
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- /dev/null
+++ b/packages/standins/src/ragwortpaddle_standins/fleet.py
@@ -0,0 +1,312 @@
+"""Starts a small fleet of real processes on loopback, for tests, demonstrations and benches."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+START_TIMEOUT_SECONDS = 30.0
+STOP_TIMEOUT_SECONDS = 20.0
+TICK_SECONDS = 0.05
+PEER_KEYS = "first " + "5a" * 32 + "\n"
+
+
+class StartError(Exception):
+    """A process did not come up."""
+
+
+def free_address() -> str:
+    """Return a loopback address with a port that the system gave."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+def wait_until(condition: Any, what: str, timeout_seconds: float = START_TIMEOUT_SECONDS) -> Any:
+    """Return the first true value of a condition."""
+    deadline = time.monotonic() + timeout_seconds
+    while True:
+        value = condition()
+        if value:
+            return value
+        if time.monotonic() >= deadline:
+            raise TimeoutError(f"{what} not within {timeout_seconds} s")
+        time.sleep(TICK_SECONDS)
+
+
+def fetch(url: str, body: object | None = None, method: str = "") -> Any:
+    """Exchange JSON with a stand-in or a status page."""
+    data = None if body is None else json.dumps(body).encode()
+    method = method or ("GET" if data is None else "POST")
+    request = urllib.request.Request(url, data, method=method)
+    request.add_header("Content-Type", "application/json")
+    with urllib.request.urlopen(request, timeout=10) as response:
+        text = response.read()
+    return json.loads(text) if text else None
+
+
+def answers(url: str) -> bool:
+    """Tell whether a URL answers 200."""
+    try:
+        with urllib.request.urlopen(url, timeout=2) as response:
+            return bool(response.status == 200)
+    except (urllib.error.URLError, OSError):
+        return False
+
+
+@dataclass
+class Process:
+    """One process of the fleet, with its log file."""
+
+    name: str
+    address: str
+    popen: "subprocess.Popen[bytes]"
+    log: Path
+
+    @property
+    def url(self) -> str:
+        """Return the base URL."""
+        return f"http://{self.address}"
+
+    def wait_up(self, path: str) -> None:
+        """Wait until a path answers.
+
+        :raises StartError: the process ended instead
+        """
+
+        def answers_or_ended() -> bool:
+            if self.popen.poll() is not None:
+                raise StartError(f"{self.name} ended:\n{self.log.read_text()[-2000:]}")
+            return answers(f"{self.url}{path}")
+
+        wait_until(answers_or_ended, f"{self.name} up")
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.popen.kill()
+        self.popen.wait()
+
+    def freeze(self) -> None:
+        """Stop the process without ending it."""
+        self.popen.send_signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let a frozen process go on."""
+        self.popen.send_signal(signal.SIGCONT)
+
+    def terminate(self, timeout_seconds: float = STOP_TIMEOUT_SECONDS) -> int:
+        """Ask the process to end and return its exit code."""
+        self.popen.send_signal(signal.SIGTERM)
+        return self.popen.wait(timeout_seconds)
+
+    def faults(self, **values: object) -> None:
+        """Order faults; those not named end."""
+        fetch(f"{self.url}/faults", values)
+
+
+@dataclass(frozen=True)
+class EngineShape:
+    """The layers and pace of one engine."""
+
+    first_layer: int
+    end_layer: int
+    accelerator: str = "fast"
+    max_batch: int = 64
+
+
+@dataclass
+class Fleet:
+    """A platform, engines, services and daemons, all as processes of their own."""
+
+    directory: Path
+    data_centres: tuple[str, ...] = ("dc-a", "dc-b", "dc-c")
+    traces: bool = False
+    balancer_lag_ms: int = 200
+    list_lag_ms: int = 0
+    log_level: str = "info"
+    processes: dict[str, Process] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self.directory.mkdir(parents=True, exist_ok=True)
+        self.keys = self.directory / "peer-keys"
+        self.keys.write_text(PEER_KEYS)
+
+    def __enter__(self) -> "Fleet":
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.stop()
+
+    @property
+    def platform(self) -> Process:
+        """Return the platform."""
+        return self.processes["platform"]
+
+    @property
+    def daemons(self) -> list[Process]:
+        """Return the daemons."""
+        return [p for name, p in self.processes.items() if name.startswith("entry-")]
+
+    def start_platform(self) -> Process:
+        """Start the platform."""
+        address = free_address()
+        arguments = ["--listen", address, "--list-lag-ms", str(self.list_lag_ms)]
+        process = self._start("platform", address, "ragwortpaddle_standins.platform", arguments)
+        process.wait_up("/calls")
+        return process
+
+    def start_engine(
+        self,
+        name: str,
+        pool: str,
+        layers: int,
+        shape: EngineShape,
+        data_centre: str = "dc-a",
+        address: str = "",
+        ignore_fencing: bool = False,
+    ) -> Process:
+        """Start an engine and list it."""
+        address = address or free_address()
+        arguments = ["--listen", address, "--model-name", pool, "--layers", str(layers)]
+        arguments += ["--first-layer", str(shape.first_layer), "--end-layer", str(shape.end_layer)]
+        arguments += ["--accelerator", shape.accelerator, "--max-batch", str(shape.max_batch)]
+        if ignore_fencing:
+            arguments.append("--ignore-fencing")
+        process = self._start(name, address, "ragwortpaddle_standins.engine", arguments)
+        process.wait_up("/v1/status")
+        self.list_vm(name, "endpoint", address, data_centre, pool)
+        return process
+
+    def start_service(self, name: str, pool: str, data_centre: str = "dc-a") -> Process:
+        """Start a plain service and list it."""
+        address = free_address()
+        process = self._start(
+            name, address, "ragwortpaddle_standins.service", ["--listen", address]
+        )
+        process.wait_up("/v1/status")
+        self.list_vm(name, "endpoint", address, data_centre, pool)
+        return process
+
+    def start_daemon(
+        self, name: str, data_centre: str = "dc-a", seeds: str = "", wait: bool = True
+    ) -> Process:
+        """Start a daemon and list it."""
+        address, peer_address = free_address(), free_address()
+        settings = self.directory / f"{name}.ini"
+        traces = "none"
+        if self.traces:
+            traces = f"file\ntrace_file = {self.directory / 'traces.jsonl'}"
+        settings.write_text(f"""[daemon]
+name = {name}
+data_centre = {data_centre}
+listen = {address}
+peer_listen = {peer_address}
+[platform]
+url = {self.platform.url}
+timeout_ms = 1000
+[peers]
+key_file = {self.keys}
+seeds = {seeds}
+[shutdown]
+balancer_lag_ms = {self.balancer_lag_ms}
+[telemetry]
+traces = {traces}
+log_level = {self.log_level}
+""")
+        process = self._start(name, address, "ragwortpaddled", [str(settings)])
+        self.list_vm(name, "entry", address, data_centre, peer_address=peer_address)
+        if wait:
+            process.wait_up("/healthz")
+        return process
+
+    def list_vm(
+        self,
+        name: str,
+        role: str,
+        address: str,
+        data_centre: str,
+        pool: str = "",
+        peer_address: str = "",
+        state: str = "live",
+    ) -> None:
+        """Put a VM on the platform's list."""
+        vm = {
+            "name": name,
+            "role": role,
+            "address": address,
+            "data_centre": data_centre,
+            "pool": pool,
+            "peer_address": peer_address,
+            "state": state,
+        }
+        fetch(f"{self.platform.url}/vms", vm, "PUT")
+
+    def operate(self, *arguments: str | Path, expect: int | None = 0) -> str:
+        """Run the operators' command line and return what it printed."""
+        command = [sys.executable, "-m", "ragwortpaddle", *map(str, arguments)]
+        if arguments[0] != "check":
+            command += ["--platform", self.platform.url]
+        result = subprocess.run(command, capture_output=True, text=True, timeout=60)
+        if expect is not None and result.returncode != expect:
+            raise StartError(f"{command}: {result.returncode}\n{result.stdout}{result.stderr}")
+        return result.stdout + result.stderr
+
+    def publish(self, *files: Path) -> None:
+        """Apply object files and publish them."""
+        self.operate("apply", *files)
+        self.operate("publish")
+
+    def wait_ready(self) -> None:
+        """Wait until every daemon serves and sees every listed endpoint."""
+        listed = fetch(f"{self.platform.url}/vms")["vms"]
+        endpoints = {vm["name"] for vm in listed if vm["role"] == "endpoint"}
+        for daemon in self.daemons:
+            wait_until(lambda d=daemon: answers(f"{d.url}/readyz"), f"{daemon.name} ready")
+            wait_until(
+                lambda d=daemon: endpoints <= self._fresh_endpoints(d),
+                f"{daemon.name} sees the endpoints",
+            )
+
+    def stop(self) -> dict[str, int]:
+        """End every process, the daemons first, and return the daemons' exit codes."""
+        codes = {}
+        daemons = [d for d in self.daemons if d.popen.poll() is None]
+        for daemon in daemons:
+            daemon.thaw()
+            daemon.popen.send_signal(signal.SIGTERM)
+        for daemon in daemons:
+            try:
+                codes[daemon.name] = daemon.popen.wait(STOP_TIMEOUT_SECONDS)
+            except subprocess.TimeoutExpired:
+                daemon.kill()
+                codes[daemon.name] = -signal.SIGKILL
+        for process in self.processes.values():
+            if process.popen.poll() is None:
+                process.kill()
+        self.processes.clear()
+        return codes
+
+    def _fresh_endpoints(self, daemon: Process) -> set[str]:
+        status = fetch(f"{daemon.url}/status")
+        return {e["name"] for e in status["endpoints"] if e["fresh"] and e["circuit"] == "closed"}
+
+    def _start(self, name: str, address: str, module: str, arguments: list[str]) -> Process:
+        log = self.directory / f"{name}.log"
+        with log.open("ab") as out:
+            popen = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments],
+                stdout=out,
+                stderr=out,
+                env={**os.environ, "PYTHONHASHSEED": "0"},
+            )
+        process = Process(name, address, popen, log)
+        self.processes[name] = process
+        return process
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,34 @@
+"""Fixtures: whole installations of real processes on loopback."""
+
+from collections.abc import Callable, Iterator
+from pathlib import Path
+
+import pytest
+from ragwortpaddle_standins import demo
+from ragwortpaddle_standins.fleet import Fleet
+
+OBJECTS = Path(__file__).parent.parent / "examples" / "workshops.ini"
+
+
+@pytest.fixture(scope="session")
+def installation(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Fleet]:
+    """Return a running installation that tests must leave as they found it."""
+    with Fleet(tmp_path_factory.mktemp("installation")) as fleet:
+        demo.start(fleet, OBJECTS)
+        yield fleet
+
+
+@pytest.fixture
+def new_installation(tmp_path: Path) -> Iterator[Callable[..., Fleet]]:
+    """Return a function that starts an installation for one test alone."""
+    fleets: list[Fleet] = []
+
+    def start(**settings: object) -> Fleet:
+        fleet = Fleet(tmp_path / f"fleet-{len(fleets)}", **settings)
+        fleets.append(fleet)
+        demo.start(fleet, OBJECTS)
+        return fleet
+
+    yield start
+    for fleet in fleets:
+        fleet.stop()
--- /dev/null
+++ b/tests/test_path.py
@@ -0,0 +1,168 @@
+"""The whole path: callers through daemons to engines and services, all separate processes."""
+
+import http.client
+import json
+import socket
+
+import openai
+import pytest
+from callers import PROMPT, chat_body, client_of, expected_chat, send, stream_chat
+from ragwortpaddle_standins import model
+from ragwortpaddle_standins.demo import LAYERS
+from ragwortpaddle_standins.fleet import Fleet, fetch, wait_until
+
+
+class TestModels:
+    def test_lists_the_routes_of_the_team(self, installation: Fleet) -> None:
+        listed = client_of(installation.daemons[0]).models.list()
+        assert [entry.id for entry in listed.data] == ["pedal-assistant"]
+
+
+class TestChat:
+    def test_streams_the_whole_answer(self, installation: Fleet) -> None:
+        for daemon in installation.daemons:
+            assert stream_chat(daemon, PROMPT, 40) == expected_chat(PROMPT, 40)
+
+    def test_answers_whole(self, installation: Fleet) -> None:
+        answer = client_of(installation.daemons[0]).chat.completions.create(
+            model="pedal-assistant", messages=[{"role": "user", "content": PROMPT}], max_tokens=12
+        )
+        assert answer.choices[0].message.content == expected_chat(PROMPT, 12)
+        assert answer.choices[0].finish_reason == "length"
+        assert answer.usage.completion_tokens == 12
+
+    def test_includes_usage_when_asked(self, installation: Fleet) -> None:
+        stream = client_of(installation.daemons[0]).chat.completions.create(
+            model="pedal-assistant",
+            messages=[{"role": "user", "content": PROMPT}],
+            max_tokens=5,
+            stream=True,
+            stream_options={"include_usage": True},
+        )
+        usages = [chunk.usage for chunk in stream if chunk.usage]
+        assert [usage.completion_tokens for usage in usages] == [5]
+
+    def test_stream_ends_with_done(self, installation: Fleet) -> None:
+        body = chat_body(PROMPT, 3, stream=True)
+        reply = send(installation.daemons[0], "/v1/chat/completions", body)
+        assert reply.body.endswith(b"data: [DONE]\n\n")
+        assert reply.headers["Ragwortpaddle-Request-Id"]
+
+
+class TestCompletion:
+    def test_answers_whole_and_streamed(self, installation: Fleet) -> None:
+        client = client_of(installation.daemons[1])
+        expected = model.render(model.generate(PROMPT, LAYERS, 9))
+        whole = client.completions.create(model="pedal-assistant", prompt=PROMPT, max_tokens=9)
+        assert whole.choices[0].text == expected
+        stream = client.completions.create(
+            model="pedal-assistant", prompt=PROMPT, max_tokens=9, stream=True
+        )
+        assert "".join(chunk.choices[0].text for chunk in stream) == expected
+
+
+class TestServices:
+    def test_passes_method_path_query_and_body(self, installation: Fleet) -> None:
+        path = "/services/board/lost/7?colour=red"
+        reply = send(installation.daemons[0], path, b'{"a":1}', method="PUT")
+        assert reply.status == 200
+        assert json.loads(reply.body)["path"] == "/do/board/lost/7"
+        assert json.loads(reply.body)["echo"] == '{"a":1}'
+        assert reply.headers["Service-Sequence"]
+
+    def test_operation_needs_a_key(self, installation: Fleet) -> None:
+        reply = send(installation.daemons[0], "/services/orders/new", b"{}")
+        assert (reply.status, reply.error["code"]) == (400, "key_required")
+        assert reply.executed == "no"
+
+    def test_operation_runs_once_under_its_key(self, installation: Fleet) -> None:
+        replies = [
+            send(daemon, "/services/orders/new", b'{"n":1}', key="once-7")
+            for daemon in installation.daemons
+        ]
+        assert {reply.body for reply in replies} == {replies[0].body}
+        executions = fetch(f"{installation.processes['parts-1'].url}/executions")
+        assert sum(item["idempotency_key"] == "once-7" for item in executions) == 1
+
+    def test_key_of_another_body_is_refused(self, installation: Fleet) -> None:
+        send(installation.daemons[0], "/services/orders/new", b'{"n":1}', key="reused")
+        reply = send(installation.daemons[1], "/services/orders/new", b'{"n":2}', key="reused")
+        assert (reply.status, reply.error["code"]) == (422, "key_reused")
+
+
+class TestRefusals:
+    def test_unknown_token(self, installation: Fleet) -> None:
+        with pytest.raises(openai.AuthenticationError):
+            client_of(installation.daemons[0], "wrong").models.list()
+
+    def test_unknown_model(self, installation: Fleet) -> None:
+        body = chat_body(PROMPT, 3, name="no-such-model")
+        reply = send(installation.daemons[0], "/v1/chat/completions", body)
+        assert (reply.status, reply.error["code"]) == (404, "model_not_found")
+        assert (reply.executed, reply.error["executed"]) == ("no", "no")
+
+    @pytest.mark.parametrize(
+        "body",
+        [b"", b"{", b"[]", b'{"model":3}', b'{"model":"pedal-assistant","messages":[]}', b"\xff"],
+    )
+    def test_bad_body(self, installation: Fleet, body: bytes) -> None:
+        reply = send(installation.daemons[0], "/v1/chat/completions", body)
+        assert (reply.status, reply.error["code"]) == (400, "bad_request")
+
+    def test_large_body(self, installation: Fleet) -> None:
+        reply = send(installation.daemons[0], "/v1/chat/completions", b"x" * 1_000_001)
+        assert (reply.status, reply.error["code"]) == (413, "body_too_large")
+
+    def test_ten_megabyte_header(self, installation: Fleet) -> None:
+        host, _, port = installation.daemons[0].address.partition(":")
+        with socket.create_connection((host, int(port)), timeout=10) as connection:
+            connection.sendall(b"GET /v1/models HTTP/1.1\r\nHost: x\r\nX-Large: ")
+            received = b""
+            try:
+                for _ in range(160):
+                    connection.sendall(b"x" * 65536)
+                received = connection.recv(65536)
+            except ConnectionError:
+                received = received or connection.recv(65536)
+        assert received.startswith(b"HTTP/1.1 431")
+        assert b"Ragwortpaddle-Executed: no" in received
+        assert send(installation.daemons[0], "/healthz").status == 200
+
+
+class TestCallerThatLeaves:
+    def test_frees_its_place_at_every_stage(self, installation: Fleet) -> None:
+        daemon = installation.daemons[0]
+        host, _, port = daemon.address.partition(":")
+        connection = http.client.HTTPConnection(host, int(port), timeout=10)
+        headers = {"Authorization": "Bearer zurich-token", "Content-Type": "application/json"}
+        body = chat_body("a caller that leaves", 4000, stream=True)
+        connection.request("POST", "/v1/chat/completions", body, headers)
+        response = connection.getresponse()
+        request_id = response.headers["Ragwortpaddle-Request-Id"]
+        response.read(200)
+        connection.sock.close() if connection.sock else response.close()
+        response.close()
+        engines = [p for name, p in installation.processes.items() if name.startswith("engine")]
+
+        def cancelled_stages() -> bool:
+            histories = [fetch(f"{engine.url}/history") for engine in engines]
+            cancelled = [
+                reference
+                for history in histories
+                for reference in history["cancelled"]
+                if reference["request"] == request_id
+            ]
+            return len(cancelled) >= 3
+
+        wait_until(cancelled_stages, "the engines see the cancel", 10)
+        wait_until(
+            lambda: fetch(f"{daemon.url}/status")["requests_in_flight"] == 0, "nothing leaks", 10
+        )
+
+
+class TestHealth:
+    def test_pages(self, installation: Fleet) -> None:
+        daemon = installation.daemons[0]
+        assert send(daemon, "/healthz").status == 200
+        assert send(daemon, "/readyz").status == 200
+        assert b"ragwortpaddle_requests" in send(daemon, "/metrics").body
