--- a/Makefile
+++ b/Makefile
@@ -28,3 +28,10 @@
 
 clean:
 	rm -rf $(VENV) out
+
+model: $(VENV)/installed
+	command -v spin > /dev/null || apt-get install -y -q spin
+	$(PYTHON) spec/check.py
+
+history: $(VENV)/installed
+	$(PYTHON) tests/history.py $(SEED) $(ROUNDS)
--- a/packages/ragwortpaddled/src/ragwortpaddled/_status.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/_status.py
@@ -28,6 +28,7 @@
     circuit: str
     leaving: bool
     fresh: bool
+    usable: bool
     sequences: int
     decode_ms: float
 
@@ -84,6 +85,7 @@
                 endpoint.circuit.state.value,
                 endpoint.leaving,
                 endpoint.fresh(now),
+                endpoint.usable(now),
                 endpoint.sequences,
                 round(endpoint.decode.mean, 3),
             )
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_directory.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_directory.py
@@ -74,6 +74,7 @@
             for name in set(self._polls) - due:
                 self._polls.pop(name).cancel()
                 self._membership.table.withdraw(LOAD_PREFIX + name)
+            self._confirm_published()
             await asyncio.sleep(POLL_INTERVAL_SECONDS)
 
     async def close(self) -> None:
@@ -124,6 +125,16 @@
             for endpoint_name, value in table.state_by_name[name].live_entries(LOAD_PREFIX):
                 self._take_published_load(endpoint_name, value)
 
+    def _confirm_published(self) -> None:
+        """Keep reports fresh that stand unchanged: pollers publish changes only."""
+        now = time.monotonic()
+        table = self._membership.table
+        for name in self._membership.live():
+            for endpoint_name, _ in table.state_by_name[name].live_entries(LOAD_PREFIX):
+                endpoint = self.endpoints.get(endpoint_name)
+                if endpoint is not None:
+                    endpoint.confirm_report(now)
+
     def _take_published_load(self, endpoint_name: str, value: bytes) -> None:
         endpoint = self.endpoints.get(endpoint_name)
         if endpoint is None or self._seen_loads.get(endpoint_name) == value:
@@ -162,6 +173,8 @@
                     # An answer to a poll is the probe: a status is free of side effects.
                     self._close_circuit(endpoint)
             except EndpointError as error:
+                self._membership.table.withdraw(LOAD_PREFIX + name)
+                self._seen_loads.pop(name, None)
                 if endpoint.circuit.fail(time.monotonic()):
                     telemetry.circuit_changes.add(1, {"endpoint": name, "to": "open"})
                     logger.warning("circuit of %s opened: %s", name, error.reason)
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_services.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_services.py
@@ -214,6 +214,9 @@
                 telemetry.circuit_changes.add(1, {"endpoint": endpoint.name, "to": "open"})
                 logger.warning("circuit of %s opened: %s", endpoint.name, error)
             raise
+        except BaseException:
+            endpoint.circuit.abandon()
+            raise
         finally:
             endpoint.steps_in_flight -= 1
         endpoint.circuit.succeed(time.monotonic())
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_stage.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_stage.py
@@ -125,6 +125,7 @@
             _fail(batch, error)
             return
         except BaseException:
+            endpoint.circuit.abandon()
             _fail(batch, StepLostError(endpoint.name, "cancelled"))
             raise
         finally:
--- a/packages/ragwortpaddled/src/ragwortpaddled/state/_endpoints.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/_endpoints.py
@@ -72,6 +72,11 @@
         self.retry_at = now + self.open_seconds
         return not was_open
 
+    def abandon(self) -> None:
+        """Note that work ended without telling anything of the endpoint."""
+        if self.state is CircuitState.PROBING:
+            self.state = CircuitState.OPEN
+
     def share(self, now: float) -> float:
         """Return the fraction of full load that the slow start allows."""
         ramp = (now - self.closed_at) / SLOW_START_SECONDS
@@ -142,6 +147,11 @@
         """Tell whether the report's figures can be used."""
         return not self.report_suspect and now - self.reported_at <= MAX_REPORT_AGE_SECONDS
 
+    def confirm_report(self, now: float) -> None:
+        """Note that the endpoint's poller still finds the last report true."""
+        if not self.report_suspect:
+            self.reported_at = max(self.reported_at, now)
+
     def max_batch(self) -> int:
         """Return how many sequences the endpoint runs in one batch."""
         return self.report.max_batch or DEFAULT_MAX_BATCH
--- a/packages/standins/src/ragwortpaddle_standins/fleet.py
+++ b/packages/standins/src/ragwortpaddle_standins/fleet.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -16,18 +17,35 @@
 START_TIMEOUT_SECONDS = 30.0
 STOP_TIMEOUT_SECONDS = 20.0
 TICK_SECONDS = 0.05
+LISTEN_PORTS = (10_240, 32_000)
 PEER_KEYS = "first " + "5a" * 32 + "\n"
 
 
+_given_ports: set[int] = set()
+
+
 class StartError(Exception):
     """A process did not come up."""
 
 
 def free_address() -> str:
-    """Return a loopback address with a port that the system gave."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Return a loopback address whose port the system finds free.
+
+    It lies below the range from which the system takes the ports of outgoing connections: one of
+    those could take the port between this probe and the start of its process.
+    """
+    choice = random.SystemRandom()
+    while True:
+        port = choice.randrange(*LISTEN_PORTS)
+        if port in _given_ports:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        _given_ports.add(port)
+        return f"127.0.0.1:{port}"
 
 
 def wait_until(condition: Any, what: str, timeout_seconds: float = START_TIMEOUT_SECONDS) -> Any:
@@ -132,6 +150,7 @@
     balancer_lag_ms: int = 200
     list_lag_ms: int = 0
     log_level: str = "info"
+    daemon_module: tuple[str, ...] = ("ragwortpaddled",)
     processes: dict[str, Process] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
@@ -222,7 +241,8 @@
 traces = {traces}
 log_level = {self.log_level}
 """)
-        process = self._start(name, address, "ragwortpaddled", [str(settings)])
+        module, *arguments = self.daemon_module
+        process = self._start(name, address, module, [*arguments, str(settings)])
         self.list_vm(name, "entry", address, data_centre, peer_address=peer_address)
         if wait:
             process.wait_up("/healthz")
@@ -297,7 +317,7 @@
 
     def _fresh_endpoints(self, daemon: Process) -> set[str]:
         status = fetch(f"{daemon.url}/status")
-        return {e["name"] for e in status["endpoints"] if e["fresh"] and e["circuit"] == "closed"}
+        return {e["name"] for e in status["endpoints"] if e["fresh"] and e["usable"]}
 
     def _start(self, name: str, address: str, module: str, arguments: list[str]) -> Process:
         log = self.directory / f"{name}.log"
--- a/packages/standins/src/ragwortpaddle_standins/service.py
+++ b/packages/standins/src/ragwortpaddle_standins/service.py
@@ -17,6 +17,7 @@
     path: str
     idempotency_key: str
     attempt: str
+    request: str
     body: str
 
 
@@ -64,6 +65,7 @@
             request.url.path.decode(),
             _header(request, b"Idempotency-Key"),
             _header(request, b"Ragwortpaddle-Attempt"),
+            _header(request, b"Ragwortpaddle-Request-Id"),
             body.decode(errors="replace"),
         )
         service.executions.append(execution)
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -117,7 +117,7 @@
         frozen.thaw()
         wait_until(
             lambda: all(
-                endpoint["circuit"] == "closed"
+                endpoint["usable"]
                 for endpoint in fetch(f"{fleet.daemons[0].url}/status")["endpoints"]
             ),
             "the thawed engine is taken back",
