--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_stage.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_stage.py
@@ -20,9 +20,8 @@
 from ragwortpaddled.protocol import EngineClient, LoadReport, SequenceRef, Step, StepResult
 from ragwortpaddled.state import Endpoint
 
-MAX_DECODE_EXCHANGES = 2
+MAX_DECODE_EXCHANGES = 8
 MAX_PREFILL_EXCHANGES = 4
-MAX_STEPS_PER_EXCHANGE = 256
 RELEASE_DELAY_SECONDS = 0.05
 RELEASE_TRIES = 3
 
@@ -92,7 +91,8 @@
 
     def _send(self) -> None:
         while self._waiting and self._decode_exchanges < MAX_DECODE_EXCHANGES:
-            batch = self._waiting[:MAX_STEPS_PER_EXCHANGE]
+            # More than one batch in an exchange would make the first wait for the last.
+            batch = self._waiting[: self.endpoint.max_batch()]
             del self._waiting[: len(batch)]
             self._decode_exchanges += 1
             self._start(self._decode(batch))
@@ -148,7 +148,7 @@
         endpoint = self.endpoint
         telemetry.exchanges.add(1, {"endpoint": endpoint.name})
         if count <= 1:
-            endpoint.decode.add(elapsed_ms)
+            endpoint.note_decode(elapsed_ms, time.monotonic())
         else:
             beyond_step = max(0.0, elapsed_ms - endpoint.decode.mean)
             endpoint.prefill_per_token.add(beyond_step / count)
@@ -161,6 +161,8 @@
         dropped = 0
         for result in results:
             item = open_by_key.get((result.request, result.attempt))
+            if item is not None and item.done.cancelled():
+                continue
             if item is None or item.done.done() or not result.answers(item.step):
                 dropped += 1
                 continue
@@ -171,6 +173,8 @@
 
     def _note_failure(self, error: EndpointError) -> None:
         certain = not isinstance(error, StepTimeoutError)
+        if not certain:
+            self.endpoint.note_timeout()
         if self.endpoint.circuit.fail(time.monotonic(), certain=certain):
             telemetry.circuit_changes.add(1, {"endpoint": self.endpoint.name, "to": "open"})
             logger.warning("circuit of %s opened: %s", self.endpoint.name, error.reason)
--- a/packages/ragwortpaddled/src/ragwortpaddled/state/_endpoints.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/_endpoints.py
@@ -17,8 +17,11 @@
 DEFAULT_STEP_MS = 10.0
 DEFAULT_PREFILL_MS_PER_TOKEN = 0.5
 DEFAULT_MAX_BATCH = 8
-DEVIATION_FACTOR = 6.0
+DEADLINE_FACTOR = 6.0
 DEADLINE_FLOOR_MS = 250.0
+MAX_PATIENCE = 32.0
+PATIENCE_DECAY = 0.95
+LINK_GROWTH = 1.02
 
 
 class CircuitState(StrEnum):
@@ -115,6 +118,8 @@
     prefill_per_token: Average = field(default_factory=Average)
     circuit: Circuit = field(default_factory=Circuit)
     report_suspect: bool = False
+    link_ms: float = math.inf
+    patience: float = 1.0
 
     @property
     def name(self) -> str:
@@ -164,13 +169,27 @@
         return self.sequences + others
 
     def step_ms(self, now: float) -> float:
-        """Return the expected time of one decode step, link included."""
+        """Return the expected time of one batch, link included but waiting left out."""
+        if self.fresh(now) and self.report.step_ms > 0:
+            link_ms = 0.0 if math.isinf(self.link_ms) else self.link_ms
+            return self.report.step_ms + link_ms
         if self.decode.count:
             return self.decode.mean
-        if self.fresh(now) and self.report.step_ms > 0:
-            return self.report.step_ms
         return DEFAULT_STEP_MS
 
+    def note_decode(self, elapsed_ms: float, now: float) -> None:
+        """Take in the time of a decode exchange."""
+        self.decode.add(elapsed_ms)
+        self.patience = max(1.0, self.patience * PATIENCE_DECAY)
+        if self.fresh(now):
+            # What an exchange takes beyond its batch is link or waiting; the least is the link.
+            beyond_batch_ms = max(0.0, elapsed_ms - self.report.step_ms)
+            self.link_ms = min(beyond_batch_ms, self.link_ms * LINK_GROWTH)
+
+    def note_timeout(self) -> None:
+        """Wait longer for the next steps: an endpoint that is only slow must not be hunted."""
+        self.patience = min(MAX_PATIENCE, self.patience * 2)
+
     def prefill_ms(self, tokens: int, now: float) -> float:
         """Return the expected time to prefill some tokens."""
         per_token = DEFAULT_PREFILL_MS_PER_TOKEN
@@ -182,9 +201,12 @@
 
     def step_deadline_ms(self, tokens: int, now: float) -> float:
         """Return the time after which a step counts as lost, from the endpoint's own pace."""
-        expected = self.step_ms(now) if tokens <= 1 else self.prefill_ms(tokens, now)
-        spread = self.decode.deviation
-        return max(DEADLINE_FLOOR_MS, DEVIATION_FACTOR * (expected + spread))
+        expected_ms = self.step_ms(now) if tokens <= 1 else self.prefill_ms(tokens, now)
+        batches_ahead = self.load(now) / self.max_batch()
+        expected_ms += batches_ahead * self.step_ms(now)
+        measured_ms = self.decode.mean + self.decode.deviation
+        deadline_ms = DEADLINE_FACTOR * max(expected_ms, measured_ms) * self.patience
+        return max(DEADLINE_FLOOR_MS, deadline_ms)
 
 
 class EndpointTable:
--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_http_client.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_http_client.py
@@ -1,17 +1,24 @@
 """Sends HTTP requests and tells a request that was never sent from one whose reply was lost."""
 
-import asyncio
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from blacksheep import Content, Request
-from blacksheep.client import ClientSession
-from blacksheep.client.exceptions import ConnectionTimeout
+from aiohttp import (
+    ClientConnectorError,
+    ClientError,
+    ClientSession,
+    ClientTimeout,
+    ConnectionTimeoutError,
+    DummyCookieJar,
+    TCPConnector,
+)
+from multidict import CIMultiDict
+from yarl import URL
 
 from ragwortpaddled.errors import NotSentError, ReplyLostError, ReplyTimeoutError
 
 CONNECT_TIMEOUT_SECONDS = 1.0
-IDLE_TIMEOUT_SECONDS = 4.0  # below the 5 s after which common servers close an idle connection
+IDLE_TIMEOUT_SECONDS = 3.0  # below the 5 s after which common servers close an idle connection
 
 Headers = Iterable[tuple[bytes, bytes]]
 
@@ -37,7 +44,7 @@
     """Exchanges one request for one whole reply, and never sends a request twice."""
 
     def __init__(self) -> None:
-        self._session = self._new_session()
+        self._session: ClientSession | None = None
 
     async def exchange(
         self,
@@ -57,34 +64,24 @@
         :raises NotSentError: no byte of the request went out
         :raises ReplyLostError: the request may have been handled
         """
+        sent_headers = CIMultiDict((k.decode("latin-1"), v.decode("latin-1")) for k, v in headers)
+        if body:
+            sent_headers["Content-Type"] = content_type.decode("latin-1")
+        timeout = ClientTimeout(total=timeout_seconds, sock_connect=CONNECT_TIMEOUT_SECONDS)
         if not fresh_connection:
-            return await self._send(
-                self._session, method, url, body, content_type, headers, timeout_seconds
-            )
-        session = self._new_session()
-        try:
-            return await self._send(
-                session, method, url, body, content_type, headers, timeout_seconds
-            )
-        finally:
-            await session.close()
+            return await self._send(self._pooled(), method, url, body, sent_headers, timeout)
+        async with _new_session(reuse=False) as session:
+            return await self._send(session, method, url, body, sent_headers, timeout)
 
     async def close(self) -> None:
         """Close the pooled connections."""
-        await self._session.close()
+        if self._session is not None:
+            await self._session.close()
 
-    @staticmethod
-    def _new_session() -> ClientSession:
-        # The library's own retries would send a non-idempotent request twice.
-        return ClientSession(
-            http2=False,
-            follow_redirects=False,
-            cookie_jar=False,
-            connection_timeout=CONNECT_TIMEOUT_SECONDS,
-            request_timeout=3600.0,
-            max_connection_retries=0,
-            idle_timeout=IDLE_TIMEOUT_SECONDS,
-        )
+    def _pooled(self) -> ClientSession:
+        if self._session is None:
+            self._session = _new_session(reuse=True)
+        return self._session
 
     @staticmethod
     async def _send(
@@ -92,22 +89,35 @@
         method: str,
         url: str,
         body: bytes,
-        content_type: bytes,
-        headers: Headers,
-        timeout_seconds: float,
+        headers: CIMultiDict[str],
+        timeout: ClientTimeout,
     ) -> HttpReply:
-        content = Content(content_type, body) if body else None
-        request = Request(method, url.encode(), list(headers))
-        if content is not None:
-            request = request.with_content(content)
         try:
-            async with asyncio.timeout(timeout_seconds):
-                response = await session.send(request)
+            async with session.request(
+                method,
+                URL(url, encoded=True),
+                data=body or None,
+                headers=headers,
+                timeout=timeout,
+                allow_redirects=False,
+            ) as response:
                 payload = await response.read()
-        except (ConnectionRefusedError, ConnectionTimeout) as error:
+                return HttpReply(response.status, tuple(response.raw_headers), payload)
+        except (ClientConnectorError, ConnectionTimeoutError) as error:
             raise NotSentError(f"{url}: {error}") from error
         except TimeoutError as error:
-            raise ReplyTimeoutError(f"{url}: no reply within {timeout_seconds:.3f} s") from error
-        except Exception as error:
+            raise ReplyTimeoutError(f"{url}: no reply within {timeout.total:.3f} s") from error
+        except (ClientError, OSError, ValueError) as error:
             raise ReplyLostError(f"{url}: {type(error).__name__}: {error}") from error
-        return HttpReply(response.status, tuple(response.headers), payload or b"")
+
+
+def _new_session(*, reuse: bool) -> ClientSession:
+    if reuse:
+        connector = TCPConnector(limit=0, keepalive_timeout=IDLE_TIMEOUT_SECONDS)
+    else:
+        connector = TCPConnector(limit=0, force_close=True)
+    session = ClientSession(connector=connector, cookie_jar=DummyCookieJar(), auto_decompress=False)
+    # The library sends idempotent methods again after a broken connection; a service's PUT or a
+    # conditional write must not be. There is no public switch; a test holds this.
+    session._retry_connection = False
+    return session
--- a/packages/standins/src/ragwortpaddle_standins/engine.py
+++ b/packages/standins/src/ragwortpaddle_standins/engine.py
@@ -163,7 +163,10 @@
 class Engine:
     """The sequences, the batch loop and the faults of one engine."""
 
-    def __init__(self, report: LoadReport, check_fencing: bool, report_lag_ms: float) -> None:
+    def __init__(
+        self, report: LoadReport, check_fencing: bool, report_lag_ms: float, batch_base_ms: float
+    ) -> None:
+        self.batch_base_ms = batch_base_ms
         self.report = report
         self.check_fencing = check_fencing
         self.report_lag_ms = report_lag_ms
@@ -206,7 +209,7 @@
                 continue
             self.report.active = len(batch)
             self.report.waiting = len(self.pending)
-            cost_ms = BATCH_BASE_MS + sum(self._cost_ms(item.step) for item in batch)
+            cost_ms = self.batch_base_ms + sum(self._cost_ms(item.step) for item in batch)
             cost_ms *= self.pace * self.faults.slow_factor
             await asyncio.sleep(cost_ms / 1000)
             self.report.step_ms = 0.8 * self.report.step_ms + 0.2 * cost_ms
@@ -434,6 +437,7 @@
     max_batch: int = 64,
     ignore_fencing: bool = False,
     report_lag_ms: float = 250.0,
+    batch_base_ms: float = BATCH_BASE_MS,
 ) -> None:
     """Run an engine stand-in.
 
@@ -446,6 +450,7 @@
     :param max_batch: sequences in one batch
     :param ignore_fencing: accept orders with an old fencing number
     :param report_lag_ms: how far the load report lags
+    :param batch_base_ms: what a batch takes on a fast accelerator, whatever is in it
     """
     report = LoadReport(
         model=model_name,
@@ -457,12 +462,12 @@
         max_batch=max_batch,
         active=0,
         waiting=0,
-        step_ms=BATCH_BASE_MS * PACE_BY_ACCELERATOR[accelerator],
+        step_ms=batch_base_ms * PACE_BY_ACCELERATOR[accelerator],
         prefill_ms_per_token=PREFILL_MS_PER_TOKEN * PACE_BY_ACCELERATOR[accelerator],
         leaving=False,
         fencing=0,
     )
-    serve(build(Engine(report, not ignore_fencing, report_lag_ms)), listen)
+    serve(build(Engine(report, not ignore_fencing, report_lag_ms, batch_base_ms)), listen)
 
 
 if __name__ == "__main__":
--- a/packages/standins/src/ragwortpaddle_standins/fleet.py
+++ b/packages/standins/src/ragwortpaddle_standins/fleet.py
@@ -138,6 +138,7 @@
     end_layer: int
     accelerator: str = "fast"
     max_batch: int = 64
+    batch_base_ms: float = 4.0
 
 
 @dataclass
@@ -198,6 +199,7 @@
         arguments = ["--listen", address, "--model-name", pool, "--layers", str(layers)]
         arguments += ["--first-layer", str(shape.first_layer), "--end-layer", str(shape.end_layer)]
         arguments += ["--accelerator", shape.accelerator, "--max-batch", str(shape.max_batch)]
+        arguments += ["--batch-base-ms", str(shape.batch_base_ms)]
         if ignore_fencing:
             arguments.append("--ignore-fencing")
         process = self._start(name, address, "ragwortpaddle_standins.engine", arguments)
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -100,6 +100,14 @@
             assert (repeat.status, repeat.executed) == (409, "unknown")
         assert executions(fleet, key) == executed
 
+    @pytest.mark.parametrize("method", ["PUT", "DELETE"])
+    def test_idempotent_methods_are_not_sent_twice_either(self, fleet: Fleet, method: str) -> None:
+        key = new_key()
+        fleet.processes["parts-1"].faults(drop_after=1)
+        reply = send(fleet.daemons[0], ORDERS, b"{}", method=method, key=key)
+        assert (reply.status, reply.executed) == (504, "unknown")
+        assert executions(fleet, key) == 1
+
     def test_failure_of_the_service_is_the_recorded_outcome(self, fleet: Fleet) -> None:
         key = new_key()
         fleet.processes["parts-1"].faults(fail=1)
