--- a/Makefile
+++ b/Makefile
@@ -35,3 +35,12 @@
 
 history: $(VENV)/installed
 	$(PYTHON) tests/history.py $(SEED) $(ROUNDS)
+
+SCENARIOS := overhead chain rivals stragglers crest recovery
+
+bench: $(VENV)/installed
+	set -e; for name in $(SCENARIOS); do $(PYTHON) -m bench.scenarios $$name; done
+	$(PYTHON) -m bench.operations
+
+capacity: $(VENV)/installed
+	$(PYTHON) -m bench.capacity
--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -1,5 +1,6 @@
 """Runs a daemon under a baseline policy: ``python -m bench.baselines POLICY SETTINGS``."""
 
+import asyncio
 import random
 import sys
 from collections.abc import Sequence
@@ -7,9 +8,11 @@
 
 import ragwortpaddled.coordination._admission as admission
 import ragwortpaddled.coordination._generation as generation
+import ragwortpaddled.coordination._ledger as ledger
 from ragwortpaddled.__main__ import serve
 from ragwortpaddled.coordination._chain import ChainContext, Work
 from ragwortpaddled.errors import NoChainError
+from ragwortpaddled.protocol import Completion, Intent, Judgement, Verdict
 from ragwortpaddled.state import Endpoint
 
 UNBOUNDED = 1e9
@@ -65,6 +68,29 @@
     admission.LONG_SHARE = UNBOUNDED
 
 
+async def _begin(self: ledger.Ledger, intent: Intent) -> Judgement:
+    await self._platform.put(f"operations/{intent.key}", intent.attempt, 0, "operation-write")
+    return Judgement(Verdict.GRANTED)
+
+
+def _complete(self: ledger.Ledger, completion: Completion) -> None:
+    async def write() -> None:
+        key = f"operations/{completion.key}"
+        stored = await self._platform.get(key, "operation-read")
+        version = stored.version if stored else 0
+        await self._platform.put(key, "done", version, "operation-write")
+
+    task = asyncio.create_task(write())
+    self._settling.add(task)
+    task.add_done_callback(self._settling.discard)
+
+
+def object_per_operation() -> None:
+    """Keep one object for each operation: an intent's write and a completion's."""
+    ledger.Ledger.begin = _begin
+    ledger.Ledger.complete = _complete
+
+
 CHOOSERS = {
     "round_robin": round_robin,
     "least_outstanding": least_outstanding,
@@ -79,6 +105,8 @@
         generation.choose_chain = CHOOSERS[policy]
     if policy == "first_come":
         first_come()
+    if policy == "object_per_operation":
+        object_per_operation()
     return serve(settings)
 
 
--- a/packages/ragwortpaddle/src/ragwortpaddle/__main__.py
+++ b/packages/ragwortpaddle/src/ragwortpaddle/__main__.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
+from urllib.parse import quote
 
 import defopt
 import msgspec
@@ -30,6 +31,17 @@
 Work = Callable[[Workspace, HttpClient], Awaitable[int]]
 
 
+class SignalAnswer(msgspec.Struct):
+    """A signal as a daemon shows it."""
+
+    kind: str
+    object_name: str
+    evidence: list[str]
+    since: float
+    done: str
+    advice: str
+
+
 class DaemonAnswer(msgspec.Struct):
     """The part of a daemon's status page that operators are shown."""
 
@@ -39,6 +51,7 @@
     members: list[dict[str, str | bool | int]]
     endpoints: list[dict[str, str | bool | int | float]]
     quarantines: list[list[object]]
+    signals: list[SignalAnswer]
     requests_in_flight: int
     operations_unsettled: int
 
@@ -174,11 +187,46 @@
             )
         if answers:
             _print_endpoints(answers)
+            _print_signals(answers)
         return 0
 
     return _with_workspace(platform, work)
 
 
+def explain(name: str, *, platform: str = DEFAULT_PLATFORM) -> int:
+    """Print what the daemons know of a request or an object.
+
+    :param name: a request id, or the name of an object or an endpoint
+    :param platform: URL of the platform's object API
+    """
+
+    async def work(workspace: Workspace, http: HttpClient) -> int:
+        known: dict[str, int] = {}
+        for address in await workspace.daemons():
+            for line in await _ask_about(http, address, name):
+                known[line] = known.get(line, 0) + 1
+        for line, count in known.items():
+            print(line if count == 1 else f"{line} (told by {count} daemons)")
+        if not known:
+            print(f"no daemon knows {name}; requests are remembered for a while only")
+        return 0 if known else EXIT_FAILED
+
+    return _with_workspace(platform, work)
+
+
+def _print_signals(answers: list[DaemonAnswer]) -> None:
+    """Print each signal once, with the number of daemons that see it."""
+    seen: dict[tuple[str, str], list[SignalAnswer]] = {}
+    for answer in answers:
+        for signal in answer.signals:
+            seen.setdefault((signal.kind, signal.object_name), []).append(signal)
+    for (kind, object_name), signals in sorted(seen.items()):
+        first = min(signals, key=lambda signal: signal.since)
+        since = time.strftime("%H:%M:%S", time.gmtime(first.since))
+        print(f"signal {kind} on {object_name} since {since}Z: {'; '.join(first.evidence)}")
+        print(f"  seen by {len(signals)} of {len(answers)} daemons; {first.done}; {first.advice}")
+
+
 def _print_endpoints(answers: list[DaemonAnswer]) -> None:
     """Print each endpoint once, with the daemons that see it as unfit."""
     unfit_by_endpoint: dict[str, list[str]] = {}
@@ -201,6 +249,15 @@
         print(f"quarantined {content}: {quarantine[3]}; lift it with a [lift:{content}] object")
 
 
+async def _ask_about(http: HttpClient, address: str, name: str) -> list[str]:
+    url = f"http://{address}/explain?name={quote(name, safe='')}"
+    try:
+        reply = await http.exchange("GET", url, timeout_seconds=STATUS_TIMEOUT_SECONDS)
+        return msgspec.json.decode(reply.body, type=list[str])
+    except (TransportError, msgspec.MsgspecError):
+        return []
+
+
 async def _ask(http: HttpClient, address: str) -> DaemonAnswer | None:
     try:
         reply = await http.exchange(
@@ -224,7 +281,7 @@
 
 def main() -> None:
     """Run a command."""
-    commands = [check, apply, publish, get, delete, history, status]
+    commands = [check, apply, publish, get, delete, history, status, explain]
     try:
         sys.exit(defopt.run(commands, no_negated_flags=True))
     except RagwortpaddleError as error:
--- a/packages/ragwortpaddled/src/ragwortpaddled/_daemon.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/_daemon.py
@@ -17,10 +17,13 @@
 from ragwortpaddled.coordination import (
     Admission,
     Directory,
+    Explainer,
     Fleet,
     Generator,
+    Journal,
     Ledger,
     Membership,
+    OrderKeeper,
     PeerLinks,
     PeerService,
     Quarantines,
@@ -29,6 +32,7 @@
     RetryBudget,
     ServiceRouter,
     Services,
+    Watchman,
 )
 from ragwortpaddled.errors import SettingsError
 from ragwortpaddled.protocol import (
@@ -88,11 +92,24 @@
         self._ledger = Ledger(self._fleet, self._platform)
         self._admission = Admission(self._fleet, self._endpoints)
         self._quarantines = Quarantines(self._fleet, self._releases, self._endpoints, engines)
+        journal = Journal()
+        self._orders = OrderKeeper(
+            self._fleet, self._releases, self._directory, engines, self._platform
+        )
+        self._watchman = Watchman(
+            self._fleet,
+            self._releases,
+            self._directory,
+            self._quarantines,
+            self._orders,
+            self._platform,
+        )
         self._generator = Generator(
             self._directory,
             engines,
             self._quarantines,
             RecoveryGate(),
+            journal,
             section.data_centre,
             randomness,
         )
@@ -110,6 +127,8 @@
             self._quarantines,
             settings.limits,
             self._status,
+            journal,
+            Explainer(journal, self._releases, self._directory, self._watchman),
         )
         service = PeerService(self._membership, self._fleet, self._releases, self._ledger)
         self._peer_server = PeerServer(section.peer_listen, self._keys, service.handle)
@@ -148,6 +167,8 @@
         self._keep(self._directory.run_polling())
         self._keep(self._admission.run())
         self._keep(self._quarantines.run())
+        self._keep(self._orders.run())
+        self._keep(self._watchman.run())
         self._keep(self._watch_keys())
         await self._http_server.start()
         logger.info("listening on %s", self._settings.daemon.listen)
@@ -213,6 +234,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._orders.close()
         await self._directory.close()
         await self._ledger.close()
         await self._membership.close()
@@ -229,6 +251,7 @@
                 self._releases,
                 self._endpoints,
                 self._quarantines,
+                self._watchman,
                 self._platform,
                 self._links,
                 self._peer_server.refused,
--- a/packages/ragwortpaddled/src/ragwortpaddled/_gateway.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/_gateway.py
@@ -13,14 +13,18 @@
 from opentelemetry import propagate, trace
 
 from ragwortpaddled import telemetry
+from ragwortpaddled._answer import Answer
 from ragwortpaddled._logs import request_id as current_request_id
 from ragwortpaddled._settings import LimitsSection
 from ragwortpaddled.coordination import (
     Admission,
+    Explainer,
     Generator,
     Job,
+    Journal,
     Quarantines,
     ReleaseFollower,
+    RequestRecord,
     Services,
     ServiceTarget,
     check_key,
@@ -33,13 +37,11 @@
     RETRY_AFTER_HEADER,
     AnswerWriter,
     Executed,
-    Finish,
     ModelEntry,
     ModelList,
     Prompt,
     Refusal,
     ServiceCall,
-    Usage,
     end_to_end_headers,
     error_event,
     read_chat,
@@ -71,6 +73,8 @@
         quarantines: Quarantines,
         limits: LimitsSection,
         status_page: StatusPage,
+        journal: Journal,
+        explainer: Explainer,
     ) -> None:
         self.draining = False
         self.in_flight: dict[str, asyncio.Task[Any] | None] = {}
@@ -82,6 +86,8 @@
         self._quarantines = quarantines
         self._limits = limits
         self._status_page = status_page
+        self._journal = journal
+        self._explainer = explainer
 
     def cut(self) -> list[str]:
         """End every request in flight with an honest error and return their ids."""
@@ -99,6 +105,7 @@
         router.add_get("/readyz", _page(self._ready))
         router.add_get("/metrics", _page(self._metrics))
         router.add_get("/status", _page(self._status))
+        router.add_get("/explain", _page(self._explain))
         router.add_get("/v1/models", self._tracked(self._models))
         router.add_post("/v1/chat/completions", self._tracked(self._chat))
         router.add_post("/v1/completions", self._tracked(self._completion))
@@ -123,6 +130,16 @@
     async def _status(self, _request: Request) -> Response:
         return Response(200, content=Content(JSON, self._status_page()))
 
+    async def _explain(self, request: Request) -> Response:
+        names = request.query.get("name") or [""]
+        lines = self._explainer.explain(names[0])
+        return Response(200, content=Content(JSON, msgspec.json.encode(lines)))
+
+    def _note_target(self, release: Release, team: Team, route: Route) -> None:
+        record = self._journal.get(current_request_id.get())
+        if record is not None:
+            record.team, record.route, record.release = team.name, route.name, release.number
+
     def _tracked(self, handler: Handler) -> Handler:
         """Wrap a handler: request id, span, and refusals in the callers' form."""
 
@@ -138,10 +155,13 @@
                 attributes={"request.id": request_id},
             )
             self.in_flight[request_id] = asyncio.current_task()
+            path = request.url.path.decode()
+            record = self._journal.open(RequestRecord(request_id, path, time.time()))
             try:
                 with trace.use_span(span):
                     response = await handler(request)
             except Refusal as refusal:
+                record.outcome = f"refused: {refusal.code}, executed {refusal.executed}"
                 response = self._refuse(refusal, request_id)
             except Exception:
                 logger.exception("request failed")
@@ -152,6 +172,8 @@
                     self._finish(request_id, span)
                     raise
                 response = self._refuse(_cut_off(), request_id)
+            else:
+                record.outcome = f"status {response.status}"
             response.add_header(REQUEST_ID_HEADER, request_id.encode())
             content = response.content
             if isinstance(content, StreamedContent):
@@ -248,11 +270,12 @@
         release, team = self._authenticate(request)
         prompt = read(await self._read_body(request))
         route = self._model_route(release, team, prompt.model)
+        self._note_target(release, team, route)
         job = self._job(release, team, route, prompt)
         self._quarantines.refuse_if_quarantined(job.content_digest)
         self._admission.limits.admit(release, team, job.max_tokens)
         writer = AnswerWriter(prompt, job.request_id, int(time.time()))
-        answer = _Answer(self._admission, self._generator, release, team, route, job)
+        answer = Answer(self._admission, self._generator, release, team, route, job)
         first = await answer.first_text()
         if prompt.stream:
 
@@ -296,6 +319,7 @@
         key = (request.get_first_header(IDEMPOTENCY_KEY_HEADER) or b"").decode(errors="replace")
         if not route.repeatable:
             check_key(route, key, time.time())
+        self._note_target(release, team, route)
         call = await self._service_call(request, rest)
         self._admission.limits.admit(release, team, 0)
         pool = self._admission.pool(route.pool)
@@ -326,99 +350,6 @@
         )
 
 
-class _Answer:
-    """One answer under way: it holds its place in the pool until it ends."""
-
-    def __init__(
-        self,
-        admission: Admission,
-        generator: Generator,
-        release: Release,
-        team: Team,
-        route: Route,
-        job: Job,
-    ) -> None:
-        self.finish: Finish = "length"
-        self._job = job
-        self._route = route
-        self._pool = admission.pool(route.pool)
-        self._place = self._pool.place(
-            release,
-            team,
-            job.priority,
-            job.max_tokens,
-            max(0.0, job.deadline - time.monotonic()),
-        )
-        self._tokens = generator.generate(job)
-        self._open = False
-        self._outcome = "caller_left"
-
-    async def first_text(self) -> str:
-        """Wait for a place and the first token, so that a refusal still has its own status."""
-        with telemetry.tracer.start_as_current_span("admission"):
-            await self._place.__aenter__()
-        self._open = True
-        try:
-            return await self._next_text()
-        except StopAsyncIteration:
-            return ""
-        except BaseException:
-            await self.close()
-            raise
-
-    async def events(self, writer: AnswerWriter, first: str) -> AsyncIterator[bytes]:
-        """Yield the events of a stream; one that is cut has no closing event."""
-        try:
-            yield writer.opening() + (writer.piece(first) if first else b"")
-            while True:
-                try:
-                    text = await self._next_text()
-                except StopAsyncIteration:
-                    break
-                if text:
-                    yield writer.piece(text)
-            self._outcome = "answered"
-            yield writer.closing(self.finish, self.usage())
-        except Refusal as refusal:
-            self._outcome = "cut"
-            refusal.executed = Executed.UNKNOWN
-            yield error_event(refusal, self._job.request_id)
-        finally:
-            await self.close()
-
-    async def rest(self) -> str:
-        """Return the rest of the text."""
-        parts = []
-        while True:
-            try:
-                parts.append(await self._next_text())
-            except StopAsyncIteration:
-                self._outcome = "answered"
-                return "".join(parts)
-
-    def usage(self) -> Usage:
-        """Return the tokens taken."""
-        prompt, answer = self._job.prompt_tokens, len(self._job.answer)
-        return Usage(prompt, answer, prompt + answer)
-
-    async def close(self) -> None:
-        """Free the stages and the place."""
-        if not self._open:
-            return
-        self._open = False
-        await self._tokens.aclose()
-        self._pool.note_tokens(self._job.team, len(self._job.answer))
-        telemetry.tokens.add(len(self._job.answer), {"route": self._route.name})
-        telemetry.requests.add(1, {"route": self._route.name, "outcome": self._outcome})
-        await self._place.__aexit__(None, None, None)
-
-    async def _next_text(self) -> str:
-        token = await anext(self._tokens)
-        if token.end:
-            self.finish = "stop"
-        return token.text
-
-
 def _cut_off() -> Refusal:
     return Refusal(
         503,
--- a/packages/ragwortpaddled/src/ragwortpaddled/_status.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/_status.py
@@ -4,7 +4,13 @@
 
 import msgspec
 
-from ragwortpaddled.coordination import Fleet, PeerLinks, Quarantines, ReleaseFollower
+from ragwortpaddled.coordination import (
+    Fleet,
+    PeerLinks,
+    Quarantines,
+    ReleaseFollower,
+    Watchman,
+)
 from ragwortpaddled.protocol import Platform, Quarantine
 from ragwortpaddled.state import EndpointTable
 
@@ -29,10 +35,22 @@
     leaving: bool
     fresh: bool
     usable: bool
+    serving: bool
     sequences: int
     decode_ms: float
 
 
+class SignalStatus(msgspec.Struct, frozen=True):
+    """A signal as operators read it."""
+
+    kind: str
+    object_name: str
+    evidence: list[str]
+    since: float
+    done: str
+    advice: str
+
+
 class DaemonStatus(msgspec.Struct, frozen=True):
     """The body of ``GET /status``."""
 
@@ -43,6 +61,7 @@
     members: list[MemberStatus]
     endpoints: list[EndpointStatus]
     quarantines: list[Quarantine]
+    signals: list[SignalStatus]
     platform_calls: dict[str, int]
     peer_messages_sent: int
     peer_bytes_sent: int
@@ -58,6 +77,7 @@
     releases: ReleaseFollower,
     endpoints: EndpointTable,
     quarantines: Quarantines,
+    watchman: Watchman,
     platform: Platform,
     links: PeerLinks,
     peer_messages_refused: int,
@@ -86,12 +106,17 @@
                 endpoint.leaving,
                 endpoint.fresh(now),
                 endpoint.usable(now),
+                endpoint.serving(now),
                 endpoint.sequences,
                 round(endpoint.decode.mean, 3),
             )
             for endpoint in endpoints
         ],
         quarantines=quarantines.active(),
+        signals=[
+            SignalStatus(s.kind, s.object_name, s.evidence, s.since, s.done, s.advice)
+            for s in watchman.signals()
+        ],
         platform_calls=platform.calls_by_purpose,
         peer_messages_sent=links.messages_sent,
         peer_bytes_sent=links.bytes_sent,
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/__init__.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/__init__.py
@@ -1,34 +1,53 @@
 """What daemons decide and do together."""
 
 from ragwortpaddled.coordination._admission import Admission
+from ragwortpaddled.coordination._chain import ChainContext, Work, choose_chain, covers
 from ragwortpaddled.coordination._directory import Directory
+from ragwortpaddled.coordination._explainer import Explainer
 from ragwortpaddled.coordination._generation import Generator, Job
+from ragwortpaddled.coordination._journal import Journal, RequestRecord
 from ragwortpaddled.coordination._ledger import Ledger
-from ragwortpaddled.coordination._membership import Membership, PeerLinks
+from ragwortpaddled.coordination._limits import TokenBucket
+from ragwortpaddled.coordination._membership import Membership
+from ragwortpaddled.coordination._orders import OrderKeeper
+from ragwortpaddled.coordination._peer_links import PeerLinks
 from ragwortpaddled.coordination._peer_service import PeerService
 from ragwortpaddled.coordination._quarantine import Quarantines, content_digest
 from ragwortpaddled.coordination._recovery import RecoveryGate, RetryBudget
 from ragwortpaddled.coordination._releases import ReleaseFollower
 from ragwortpaddled.coordination._services import ServiceRouter, Services, ServiceTarget, check_key
+from ragwortpaddled.coordination._signals import Observation, SignalBoard, Watchman
 from ragwortpaddled.coordination._summaries import Fleet
 
 __all__ = [
     "Admission",
+    "ChainContext",
     "Directory",
+    "Explainer",
     "Fleet",
     "Generator",
     "Job",
+    "Journal",
     "Ledger",
     "Membership",
+    "Observation",
+    "OrderKeeper",
     "PeerLinks",
     "PeerService",
     "Quarantines",
     "RecoveryGate",
     "ReleaseFollower",
+    "RequestRecord",
     "RetryBudget",
     "ServiceRouter",
     "ServiceTarget",
     "Services",
+    "SignalBoard",
+    "TokenBucket",
+    "Watchman",
+    "Work",
     "check_key",
+    "choose_chain",
     "content_digest",
+    "covers",
 ]
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_admission.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_admission.py
@@ -8,12 +8,12 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
+from ragwortpaddled.coordination._limits import DecayingRate, TeamLimits
 from ragwortpaddled.coordination._summaries import Fleet
 from ragwortpaddled.protocol import DEMAND_KEY, Demand, DemandLine, Refusal, encode_value
 from ragwortpaddled.state import (
     Claim,
     EndpointTable,
-    Limit,
     Pool,
     Release,
     Team,
@@ -27,8 +27,9 @@
 PIPELINE_SLACK = 2.0
 LONG_ANSWER_TOKENS = 512
 LONG_SHARE = 0.6
-RATE_SMOOTHING_SECONDS = 1.0
 DEFAULT_SERVICE_SECONDS = 0.5
+SERVICE_SMOOTHING = 0.2
+PATIENCE_SHARE = 0.5
 MIN_RETRY_AFTER_SECONDS = 0.5
 MAX_RETRY_AFTER_SECONDS = 30.0
 
@@ -54,54 +55,10 @@
     running_long: int = 0
     waiting: deque[_Waiting] = field(default_factory=deque)
     served: float = 0.0
-    requests: "DecayingRate" = field(default_factory=lambda: DecayingRate())
-    tokens: "DecayingRate" = field(default_factory=lambda: DecayingRate())
+    requests: DecayingRate = field(default_factory=DecayingRate)
+    tokens: DecayingRate = field(default_factory=DecayingRate)
     service_seconds: float = DEFAULT_SERVICE_SECONDS
-
-
-class DecayingRate:
-    """Events a second, smoothed."""
-
-    def __init__(self) -> None:
-        self._rate = 0.0
-        self._at = time.monotonic()
-
-    def add(self, count: float) -> None:
-        """Note events."""
-        self._decay()
-        self._rate += count / RATE_SMOOTHING_SECONDS
-
-    def value(self) -> float:
-        """Return the rate."""
-        self._decay()
-        return self._rate
-
-    def _decay(self) -> None:
-        now = time.monotonic()
-        self._rate *= 0.5 ** ((now - self._at) / RATE_SMOOTHING_SECONDS)
-        self._at = now
-
-
-class TokenBucket:
-    """Allows a rate with a burst of one second."""
-
-    def __init__(self) -> None:
-        self._level: float | None = None
-        self._at = time.monotonic()
-
-    def take(self, rate: float, amount: float) -> float:
-        """Take an amount; return 0, or the seconds after which it could be taken."""
-        now = time.monotonic()
-        burst = max(1.0, rate)
-        level = burst if self._level is None else self._level
-        level = min(burst, level + (now - self._at) * rate)
-        self._at = now
-        if level <= 0 or (amount <= burst and level < amount):
-            self._level = level
-            return (min(amount, burst) - level) / max(rate, 1e-6)
-        # A request larger than the burst leaves a debt that later ones wait out.
-        self._level = level - amount
-        return 0.0
+    entered_at: list[float] = field(default_factory=list)
 
 
 class PoolAdmission:
@@ -151,13 +108,15 @@
         long = expected_tokens > LONG_ANSWER_TOKENS
         await self._enter(use, team, priority, long, patience_seconds)
         entered_at = time.monotonic()
+        use.entered_at.append(entered_at)
         try:
             yield
         finally:
             use.running -= 1
             use.running_long -= long
             elapsed = time.monotonic() - entered_at
-            use.service_seconds += 0.1 * (elapsed - use.service_seconds)
+            use.service_seconds += SERVICE_SMOOTHING * (elapsed - use.service_seconds)
+            use.entered_at.remove(entered_at)
             use.served += 1.0 / team.weight
             self.pump()
 
@@ -185,9 +144,10 @@
         if waiting.done.done():
             return
         expected_seconds = self._expected_wait(use, team.name)
-        if expected_seconds > patience_seconds:
+        if expected_seconds > patience_seconds * PATIENCE_SHARE:
+            # Refused while it is early: the estimate errs, and the first token takes time too.
             use.waiting.remove(waiting)
-            raise self._refusal(expected_seconds - patience_seconds)
+            raise self._refusal(expected_seconds)
         try:
             await asyncio.wait_for(asyncio.shield(waiting.done), patience_seconds)
         except TimeoutError:
@@ -209,7 +169,11 @@
 
     def _expected_wait(self, use: _TeamUse, team: str) -> float:
         quota = max(1.0, self._quota_by_team.get(team, 1.0))
-        return len(use.waiting) * use.service_seconds / quota
+        # Those that run tell of a slowdown before any of them has ended.
+        now = time.monotonic()
+        ages = [now - entered_at for entered_at in use.entered_at]
+        mean_age = sum(ages) / len(ages) if ages else 0.0
+        return len(use.waiting) * max(use.service_seconds, 2 * mean_age) / quota
 
     @staticmethod
     def _refusal(seconds: float) -> Refusal:
@@ -300,52 +264,6 @@
         return min(width_by_range.values()) * len(width_by_range) * PIPELINE_SLACK
 
 
-class TeamLimits:
-    """Rates of teams over all daemons: each daemon allows its part by the demand it sees."""
-
-    def __init__(self, fleet: Fleet) -> None:
-        self._fleet = fleet
-        self._requests_by_team: defaultdict[str, TokenBucket] = defaultdict(TokenBucket)
-        self._tokens_by_team: defaultdict[str, TokenBucket] = defaultdict(TokenBucket)
-        self._offered_by_team: defaultdict[str, DecayingRate] = defaultdict(DecayingRate)
-
-    def admit(self, release: Release, team: Team, expected_tokens: int) -> None:
-        """Let a request through if the team's limit allows it.
-
-        :raises Refusal: it does not
-        """
-        self._offered_by_team[team.name].add(1)
-        limit = release.objects.limit_by_name.get(team.limit)
-        if limit is None:
-            return
-        part = self._own_part(team.name)
-        wait = self._wait(limit, team.name, part, expected_tokens)
-        if wait > 0:
-            raise Refusal(
-                429,
-                "team_limit",
-                f"limit {limit.name} of team {team.name} is reached",
-                retry_after_seconds=max(MIN_RETRY_AFTER_SECONDS, wait * random.uniform(1.0, 1.2)),
-            )
-
-    def _wait(self, limit: Limit, team: str, part: float, expected_tokens: int) -> float:
-        if limit.requests_per_second:
-            wait = self._requests_by_team[team].take(limit.requests_per_second * part, 1.0)
-            if wait > 0:
-                return wait
-        if limit.tokens_per_second and expected_tokens:
-            bucket = self._tokens_by_team[team]
-            return bucket.take(limit.tokens_per_second * part, float(expected_tokens))
-        return 0.0
-
-    def _own_part(self, team: str) -> float:
-        own = self._offered_by_team[team].value()
-        others = sum(
-            line.requests_per_second for line in self._fleet.demand_of_others() if line.team == team
-        )
-        return own_part(1.0, own, others)
-
-
 class Admission:
     """The admission of every pool, and the demand that this daemon publishes."""
 
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_generation.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_generation.py
@@ -10,6 +10,7 @@
 from ragwortpaddled import telemetry
 from ragwortpaddled.coordination._chain import ChainContext, Work, choose_chain
 from ragwortpaddled.coordination._directory import Directory
+from ragwortpaddled.coordination._journal import Journal
 from ragwortpaddled.coordination._quarantine import Quarantines
 from ragwortpaddled.coordination._recovery import RecoveryGate
 from ragwortpaddled.coordination._stage import StageLink
@@ -63,6 +64,7 @@
         engines: EngineClient,
         quarantines: Quarantines,
         recovery: RecoveryGate,
+        journal: Journal,
         data_centre: str,
         random_source: random.Random,
     ) -> None:
@@ -70,6 +72,7 @@
         self._engines = engines
         self._quarantines = quarantines
         self._recovery = recovery
+        self._journal = journal
         self._data_centre = data_centre
         self._random = random_source
         self._link_by_endpoint: dict[str, StageLink] = {}
@@ -136,13 +139,14 @@
 
     async def _attempt(self, job: Job, chain: list[Endpoint]) -> AsyncIterator[Token]:
         links = [self._link(endpoint) for endpoint in chain]
+        names = ", ".join(endpoint.name for endpoint in chain)
+        self._journal.note(job.request_id, f"attempt {job.attempts} over {names}")
         reference = SequenceRef(job.request_id, job.attempts)
         for link in links:
             link.open_sequence()
         try:
             suspect = self._quarantines.is_suspect(job.content_digest)
             async with self._recovery.place(repeated=job.attempts > 1, suspect=suspect):
-                names = [endpoint.name for endpoint in chain]
                 with telemetry.tracer.start_as_current_span(
                     "prefill", attributes={"attempt": job.attempts, "chain": names}
                 ):
@@ -225,6 +229,8 @@
 
     async def _note_failure(self, job: Job, error: EndpointError) -> None:
         job.failed_endpoints.append(error.endpoint)
+        note = f"attempt {job.attempts} failed at {error.endpoint} after {len(job.answer)} tokens"
+        self._journal.note(job.request_id, f"{note}: {error.reason}")
         telemetry.recoveries.add(1, {"cause": type(error).__name__})
         logger.info("attempt %d failed at %s: %s", job.attempts, error.endpoint, error.reason)
         await self._quarantines.note_failure(job.content_digest, job.request_id, error)
--- /dev/null
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_peer_links.py
@@ -0,0 +1,66 @@
+"""Connections to other daemons."""
+
+import time
+
+import msgspec
+
+from ragwortpaddled.errors import PeerRefusedError
+from ragwortpaddled.protocol import (
+    PeerMessage,
+    decode_message,
+    encode_message,
+)
+from ragwortpaddled.telemetry import tracer
+from ragwortpaddled.transport import KeyRing, PeerClient
+
+IDLE_LINK_SECONDS = 30.0
+
+
+class PeerLinks:
+    """Connections to other daemons, opened when first used."""
+
+    def __init__(self, keys: KeyRing) -> None:
+        self._keys = keys
+        self._client_by_address: dict[str, PeerClient] = {}
+        self._used_at_by_address: dict[str, float] = {}
+        self.bytes_sent = 0
+        self.bytes_received = 0
+        self.messages_sent = 0
+
+    async def request(
+        self, address: str, message: PeerMessage, timeout_seconds: float
+    ) -> PeerMessage:
+        """Send a message and return its reply.
+
+        :raises TransportError: there was no authentic reply in time
+        """
+        client = self._client_by_address.get(address)
+        if client is None:
+            client = PeerClient(address, self._keys)
+            self._client_by_address[address] = client
+        self._used_at_by_address[address] = time.monotonic()
+        body = encode_message(message)
+        self.bytes_sent += len(body)
+        self.messages_sent += 1
+        with tracer.start_as_current_span(f"peer {type(message).__name__}"):
+            reply = await client.request(body, timeout_seconds)
+        self.bytes_received += len(reply)
+        try:
+            return decode_message(reply)
+        except msgspec.MsgspecError as error:
+            raise PeerRefusedError(f"{address}: malformed reply") from error
+
+    def close_idle(self) -> None:
+        """Close connections that have not been used for a while."""
+        horizon = time.monotonic() - IDLE_LINK_SECONDS
+        for address, used_at in list(self._used_at_by_address.items()):
+            if used_at < horizon:
+                del self._used_at_by_address[address]
+                self._client_by_address.pop(address).close()
+
+    def close(self) -> None:
+        """Close every connection."""
+        for client in self._client_by_address.values():
+            client.close()
+        self._client_by_address.clear()
+        self._used_at_by_address.clear()
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_services.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_services.py
@@ -11,8 +11,9 @@
 
 from ragwortpaddled import telemetry
 from ragwortpaddled.coordination._directory import Directory
-from ragwortpaddled.coordination._ledger import Ledger, LedgerUnavailableError
+from ragwortpaddled.coordination._ledger import Ledger
 from ragwortpaddled.coordination._recovery import RetryBudget
+from ragwortpaddled.coordination._shard_writer import LedgerUnavailableError
 from ragwortpaddled.errors import NotSentError, ReplyLostError, TransportError
 from ragwortpaddled.protocol import (
     Completion,
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_stage.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_stage.py
@@ -21,6 +21,8 @@
 from ragwortpaddled.state import Endpoint
 
 MAX_DECODE_EXCHANGES = 8
+FEW_DECODE_EXCHANGES = 2
+WORTHWHILE_FRACTION = 0.25
 MAX_PREFILL_EXCHANGES = 4
 RELEASE_DELAY_SECONDS = 0.05
 RELEASE_TRIES = 3
@@ -90,13 +92,18 @@
             await asyncio.wait(set(self._tasks))
 
     def _send(self) -> None:
-        while self._waiting and self._decode_exchanges < MAX_DECODE_EXCHANGES:
+        while self._waiting and self._decode_exchanges < self._exchange_bound():
             # More than one batch in an exchange would make the first wait for the last.
             batch = self._waiting[: self.endpoint.max_batch()]
             del self._waiting[: len(batch)]
             self._decode_exchanges += 1
             self._start(self._decode(batch))
 
+    def _exchange_bound(self) -> int:
+        """Return how many decode exchanges may be open: a small group waits for company."""
+        worthwhile = self.endpoint.max_batch() * WORTHWHILE_FRACTION
+        return MAX_DECODE_EXCHANGES if len(self._waiting) >= worthwhile else FEW_DECODE_EXCHANGES
+
     async def _decode(self, batch: list[_OpenStep]) -> None:
         try:
             await self._exchange(batch)
--- a/packages/ragwortpaddled/src/ragwortpaddled/protocol/__init__.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/__init__.py
@@ -11,7 +11,14 @@
     read_chat,
     read_completion,
 )
-from ragwortpaddled.protocol._engine import EngineClient, LoadReport, SequenceRef, Step, StepResult
+from ragwortpaddled.protocol._engine import (
+    EngineClient,
+    LoadReport,
+    Order,
+    SequenceRef,
+    Step,
+    StepResult,
+)
 from ragwortpaddled.protocol._gossip import Delta, DigestLine, Entry, Origin
 from ragwortpaddled.protocol._operations import (
     Change,
@@ -45,6 +52,7 @@
     LOAD_PREFIX,
     QUARANTINE_PREFIX,
     RELEASE_KEY,
+    SIGNAL_PREFIX,
     STATE_KEY,
     SUMMARY_PREFIX,
     VMS_KEY,
@@ -56,6 +64,7 @@
     PublishedLoad,
     Quarantine,
     ReleaseInForce,
+    Signal,
     Summary,
     VmListing,
     encode_value,
@@ -84,6 +93,7 @@
     "RELEASE_KEY",
     "REQUEST_ID_HEADER",
     "RETRY_AFTER_HEADER",
+    "SIGNAL_PREFIX",
     "STATE_KEY",
     "SUMMARY_PREFIX",
     "VMS_KEY",
@@ -116,6 +126,7 @@
     "ModelList",
     "OperationRecord",
     "OperationState",
+    "Order",
     "Origin",
     "Outcome",
     "PeerMessage",
@@ -129,6 +140,7 @@
     "SequenceRef",
     "ServiceCall",
     "ServiceClient",
+    "Signal",
     "Step",
     "StepResult",
     "StoredObject",
--- a/packages/ragwortpaddled/src/ragwortpaddled/protocol/_platform.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/_platform.py
@@ -1,5 +1,6 @@
 """Speaks the platform's object API."""
 
+import time
 from typing import TypeVar
 from urllib.parse import quote
 
@@ -63,6 +64,7 @@
 
     def __init__(self, http: HttpClient, url: str, timeout_seconds: float) -> None:
         self.calls_by_purpose: dict[str, int] = {}
+        self.answered_at = time.monotonic()
         self._http = http
         self._url = url
         self._timeout_seconds = timeout_seconds
@@ -133,6 +135,7 @@
             raise PlatformUnavailableError(str(error)) from error
         if reply.status >= 500:
             raise PlatformUnavailableError(f"{path}: status {reply.status}")
+        self.answered_at = time.monotonic()
         if reply.status not in (200, 404):
             raise PlatformError(f"{path}: status {reply.status}")
         return reply
--- a/packages/ragwortpaddled/src/ragwortpaddled/state/__init__.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/__init__.py
@@ -2,9 +2,17 @@
 
 from ragwortpaddled.state._blame import SETTLE_SECONDS, Crash, guilty_contents
 from ragwortpaddled.state._check import Problem, check_objects
-from ragwortpaddled.state._endpoints import Endpoint, EndpointTable
+from ragwortpaddled.state._endpoints import Circuit, CircuitState, Endpoint, EndpointTable
 from ragwortpaddled.state._gossip_table import GossipTable
-from ragwortpaddled.state._objects import TYPE_BY_KIND, Limit, OperatorObject, Pool, Route, Team
+from ragwortpaddled.state._objects import (
+    TYPE_BY_KIND,
+    Limit,
+    OperatorObject,
+    Pool,
+    Priority,
+    Route,
+    Team,
+)
 from ragwortpaddled.state._objects_text import (
     ObjectEdit,
     collect,
@@ -51,6 +59,8 @@
     "SEAL_BYTES",
     "SETTLE_SECONDS",
     "TYPE_BY_KIND",
+    "Circuit",
+    "CircuitState",
     "Claim",
     "Crash",
     "Endpoint",
@@ -60,6 +70,7 @@
     "ObjectEdit",
     "OperatorObject",
     "Pool",
+    "Priority",
     "Problem",
     "Release",
     "Route",
--- a/packages/ragwortpaddled/src/ragwortpaddled/state/_endpoints.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/_endpoints.py
@@ -9,6 +9,7 @@
 
 SMOOTHING = 0.2
 MAX_REPORT_AGE_SECONDS = 10.0
+SERVING_REPORT_SECONDS = 3.0
 OPEN_AFTER_FAILURES = 2
 FIRST_OPEN_SECONDS = 0.5
 MAX_OPEN_SECONDS = 15.0
@@ -135,6 +136,11 @@
         """Tell whether new work may be sent."""
         return not self.leaving and self.circuit.admits(now)
 
+    def serving(self, now: float) -> bool:
+        """Tell whether the endpoint surely works, not only whether it may be tried."""
+        closed = self.circuit.state is CircuitState.CLOSED
+        return closed and not self.leaving and now - self.reported_at <= SERVING_REPORT_SECONDS
+
     def take_report(self, report: LoadReport, now: float) -> bool:
         """Take in a load report; return whether it was plausible."""
         if report.leaving and self.leaving_since is None:
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,392 @@
+"""The rules that decide, without processes."""
+
+import math
+import random
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from ragwortpaddled._settings import load_settings
+from ragwortpaddled.coordination import (
+    ChainContext,
+    Observation,
+    SignalBoard,
+    TokenBucket,
+    Work,
+    check_key,
+    choose_chain,
+    covers,
+)
+from ragwortpaddled.errors import NoChainError, ObjectsError, SettingsError
+from ragwortpaddled.protocol import (
+    Blame,
+    Completion,
+    Entry,
+    Intent,
+    LoadReport,
+    OperationState,
+    Origin,
+    Outcome,
+    Refusal,
+    Verdict,
+    Vm,
+)
+from ragwortpaddled.state import (
+    Circuit,
+    CircuitState,
+    Claim,
+    Endpoint,
+    GossipTable,
+    Route,
+    Shard,
+    check_objects,
+    choose,
+    collect,
+    divide,
+    guilty_contents,
+    own_part,
+    read_objects,
+    write_object,
+)
+
+NOW = 1000.0
+
+
+def endpoint(
+    name: str, first: int, end: int, step_ms: float = 10.0, sequences: int = 0
+) -> Endpoint:
+    result = Endpoint(Vm(name, "endpoint", "127.0.0.1:1", "dc-a", "pool"))
+    report = LoadReport(first_layer=first, end_layer=end, layers=12, max_batch=8, step_ms=step_ms)
+    result.take_report(report, NOW)
+    result.sequences = sequences
+    return result
+
+
+class TestChain:
+    CONTEXT = ChainContext(NOW, "dc-a")
+
+    def chosen(self, endpoints: list[Endpoint], context: ChainContext = CONTEXT) -> list[str]:
+        chain = choose_chain(endpoints, 12, Work(10, 10), context, random.Random(1))
+        return [item.name for item in chain]
+
+    def test_takes_the_fast_where_all_are_idle(self) -> None:
+        endpoints = [endpoint("slow", 0, 12, 40), endpoint("a", 0, 6, 5), endpoint("b", 6, 12, 5)]
+        assert self.chosen(endpoints) == ["a", "b"]
+
+    def test_leaves_the_crowded(self) -> None:
+        endpoints = [endpoint("fast", 0, 12, 10, sequences=60), endpoint("slow", 0, 12, 40)]
+        assert self.chosen(endpoints) == ["slow"]
+
+    def test_never_takes_a_gap_or_an_overlap(self) -> None:
+        endpoints = [endpoint("a", 0, 6), endpoint("b", 5, 12), endpoint("c", 7, 12)]
+        assert not covers(endpoints, 12)
+        with pytest.raises(NoChainError):
+            self.chosen(endpoints)
+
+    def test_leaves_out_the_leaving_and_the_excluded(self) -> None:
+        endpoints = [endpoint("a", 0, 12), endpoint("b", 0, 12), endpoint("c", 0, 12)]
+        endpoints[0].leaving_since = NOW
+        context = ChainContext(NOW, "dc-a", excluded=frozenset({"b"}))
+        assert self.chosen(endpoints, context) == ["c"]
+
+    @given(
+        ranges=st.lists(st.tuples(st.integers(0, 11), st.integers(1, 12)), max_size=20),
+        seed=st.integers(0, 99),
+    )
+    @settings(derandomize=True, max_examples=200)
+    def test_every_chain_covers_every_layer_once(
+        self, ranges: list[tuple[int, int]], seed: int
+    ) -> None:
+        endpoints = [endpoint(f"e{i}", a, b) for i, (a, b) in enumerate(ranges) if a < b]
+        try:
+            chain = choose_chain(endpoints, 12, Work(1, 1), self.CONTEXT, random.Random(seed))
+        except NoChainError:
+            assert not covers(endpoints, 12)
+            return
+        layers = [
+            n for item in chain for n in range(item.report.first_layer, item.report.end_layer)
+        ]
+        assert layers == list(range(12))
+
+
+class TestReports:
+    @pytest.mark.parametrize("bad", [math.nan, math.inf, -1.0])
+    def test_implausible_figures_are_set_aside(self, bad: float) -> None:
+        item = endpoint("e", 0, 12)
+        assert not item.take_report(LoadReport(first_layer=0, end_layer=12, step_ms=bad), NOW)
+        assert not item.fresh(NOW)
+        item.decode.add(7.0)
+        assert item.step_ms(NOW) == 7.0
+
+    def test_old_report_is_not_used(self) -> None:
+        item = endpoint("e", 0, 12, step_ms=50.0)
+        item.decode.add(7.0)
+        assert item.step_ms(NOW) == 50.0
+        assert item.step_ms(NOW + 60) == 7.0
+
+
+class TestCircuit:
+    def test_opens_probes_once_and_closes_with_a_slow_start(self) -> None:
+        circuit = Circuit()
+        assert not circuit.fail(NOW)
+        assert circuit.fail(NOW)
+        assert not circuit.admits(NOW)
+        later = circuit.retry_at
+        assert circuit.admits(later)
+        circuit.start(later)
+        assert not circuit.admits(later)
+        assert circuit.succeed(later)
+        assert circuit.share(later) < circuit.share(later + 60) == 1.0
+
+    def test_abandoned_probe_lets_the_next_one_go(self) -> None:
+        circuit = Circuit()
+        circuit.fail(NOW, certain=True)
+        circuit.start(circuit.retry_at)
+        assert circuit.state is CircuitState.PROBING
+        circuit.abandon()
+        assert circuit.admits(circuit.retry_at)
+
+
+class TestShares:
+    def test_what_one_leaves_others_use(self) -> None:
+        shares = divide(100, {"quiet": Claim(10), "flood": Claim(1000)})
+        assert shares == {"quiet": 10, "flood": 90}
+
+    def test_weights_and_bounds(self) -> None:
+        claims = {"a": Claim(1000, weight=2), "b": Claim(1000), "c": Claim(1000, bound=5)}
+        shares = divide(65, claims)
+        assert shares == {"a": pytest.approx(40), "b": pytest.approx(20), "c": 5}
+
+    @given(
+        demands=st.dictionaries(st.text("abcdef", min_size=1), st.floats(0, 1e4), max_size=8),
+        places=st.floats(0, 1e4),
+    )
+    @settings(derandomize=True)
+    def test_never_more_than_there_is(self, demands: dict[str, float], places: float) -> None:
+        shares = divide(places, {team: Claim(demand) for team, demand in demands.items()})
+        assert sum(shares.values()) <= places + 1e-6 * max(1.0, places)
+        assert all(shares[team] <= demands[team] + 1e-6 for team in demands)
+
+    @given(demands=st.lists(st.floats(0.1, 1e4), min_size=1, max_size=9))
+    @settings(derandomize=True)
+    def test_parts_of_all_daemons_make_the_whole(self, demands: list[float]) -> None:
+        parts = [own_part(50, own, sum(demands) - own) for own in demands]
+        assert sum(parts) == pytest.approx(50)
+
+
+class TestTokenBucket:
+    def test_large_request_leaves_a_debt(self) -> None:
+        bucket = TokenBucket()
+        assert bucket.take(100, 500) == 0
+        assert bucket.take(100, 1) > 3
+
+
+class TestOperationRecords:
+    INTENT = Intent("k", "a1", "body", 0.0, 1e12)
+
+    def completion(self, attempt: str, outcome: Outcome | None) -> Completion:
+        return Completion("k", attempt, "body", 0.0, 1e12, outcome)
+
+    def test_life_of_a_key(self) -> None:
+        draft = Shard().draft(0)
+        other = Intent("k", "a2", "body", 0.0, 1e12)
+        assert draft.apply(self.INTENT).verdict is Verdict.GRANTED
+        assert draft.apply(self.INTENT).verdict is Verdict.GRANTED
+        assert draft.apply(other).verdict is Verdict.IN_DOUBT
+        draft.apply(self.completion("a2", None))
+        assert draft.record_by_key["k"].state is OperationState.INTENT
+        draft.apply(self.completion("a1", Outcome(200, "", "ok")))
+        assert draft.apply(other).verdict is Verdict.FINISHED
+
+    def test_attempt_given_up_is_never_granted_again(self) -> None:
+        draft = Shard().draft(0)
+        draft.apply(self.completion("a1", None))
+        assert draft.changed
+        assert draft.apply(self.INTENT).verdict is Verdict.STALE
+        assert draft.apply(Intent("k", "a2", "body", 0.0, 1e12)).verdict is Verdict.GRANTED
+
+    def test_sealed_records_still_count(self) -> None:
+        shard = Shard()
+        draft = shard.draft(0)
+        draft.apply(self.INTENT)
+        records = draft.seal("segment")
+        shard.segments = draft.segments
+        shard.sealed_by_segment["segment"] = {record.key: record for record in records}
+        other = Intent("k", "a2", "body", 0.0, 1e12)
+        assert shard.draft(0).apply(other).verdict is Verdict.IN_DOUBT
+
+    def test_expired_records_are_dropped(self) -> None:
+        shard = Shard()
+        draft = shard.draft(0)
+        draft.apply(Intent("k", "a1", "body", 0.0, 10.0))
+        shard.record_by_key = draft.record_by_key
+        assert not shard.draft(11.0).record_by_key
+
+    @pytest.mark.parametrize("key", ["", "x" * 201, "plain"])
+    def test_bad_keys_are_refused(self, key: str) -> None:
+        route = Route("r", "p", "n", repeatable=False, dated_keys=True)
+        with pytest.raises(Refusal):
+            check_key(route, key, 0.0)
+
+
+class TestBlame:
+    @staticmethod
+    def blames(*crashes: tuple[str, float, str]) -> list[Blame]:
+        return [Blame(c, "r", name, at) for name, at, contents in crashes for c in contents]
+
+    def test_the_only_common_content_is_guilty(self) -> None:
+        blames = self.blames(("e1", 0.0, "xab"), ("e2", 5.0, "xc"))
+        assert [content for content, _ in guilty_contents(blames, 10.0)] == ["x"]
+
+    def test_two_common_contents_need_a_third_crash(self) -> None:
+        blames = self.blames(("e1", 0.0, "xa"), ("e2", 5.0, "xa"))
+        assert not list(guilty_contents(blames, 10.0))
+        blames += self.blames(("e3", 8.0, "xc"))
+        assert [content for content, _ in guilty_contents(blames, 10.0)] == ["x"]
+
+    def test_one_crash_told_twice_is_one_crash(self) -> None:
+        blames = self.blames(("e1", 0.0, "x"), ("e1", 0.5, "x"))
+        assert not list(guilty_contents(blames, 10.0))
+
+    def test_evidence_settles_first(self) -> None:
+        blames = self.blames(("e1", 0.0, "x"), ("e2", 9.5, "x"))
+        assert not list(guilty_contents(blames, 10.0))
+
+
+class TestGossipTable:
+    @staticmethod
+    def table(name: str, incarnation: int = 1) -> GossipTable:
+        return GossipTable(Origin(name, incarnation, "dc", f"{name}:1"))
+
+    def sync(self, source: GossipTable, target: GossipTable) -> None:
+        names = list(source.state_by_name)
+        target.merge(source.lacking(target.digest(list(target.state_by_name)), names))
+
+    def test_entries_spread_and_withdrawals_too(self) -> None:
+        a, b, c = self.table("a"), self.table("b"), self.table("c")
+        a.publish("key", b"1")
+        self.sync(a, b)
+        self.sync(b, c)
+        assert c.state_by_name["a"].entry_by_key["key"] == Entry("key", 1, b"1")
+        a.withdraw("key")
+        self.sync(a, b)
+        assert not list(b.state_by_name["a"].live_entries(""))
+        assert not a.lacking(b.digest(list(b.state_by_name)), list(a.state_by_name))
+
+    def test_older_incarnation_changes_nothing(self) -> None:
+        new, old, peer = self.table("a", 5), self.table("a", 4), self.table("p")
+        old.publish("key", b"old")
+        new.publish("key", b"new")
+        self.sync(new, peer)
+        self.sync(old, peer)
+        assert peer.state_by_name["a"].entry_by_key["key"].value == b"new"
+
+    def test_restart_with_a_clock_set_back_moves_above(self) -> None:
+        restarted = self.table("a", 3)
+        restarted.advance(Origin("a", 9, "dc", "a:1"), 1)
+        assert restarted.own.origin.incarnation == 10
+
+
+class TestRendezvous:
+    def test_a_lost_member_moves_only_its_own_keys(self) -> None:
+        names = [f"entry-{i}" for i in range(9)]
+        keys = [f"key-{i}" for i in range(200)]
+        before = {key: choose(names, key) for key in keys}
+        after = {key: choose(names[1:], key) for key in keys}
+        assert all(after[k] == before[k] for k in keys if before[k] != names[0])
+        assert len(set(before.values())) == 9
+
+
+class TestSignalBoard:
+    LOOK = Observation("kind", "object", "evidence", "done", "advice")
+
+    def test_one_look_raises_nothing(self) -> None:
+        board = SignalBoard()
+        assert board.update([self.LOOK], 1.0) == {}
+        assert board.update([], 2.0) == {}
+        assert board.update([self.LOOK], 3.0) == {}
+
+    def test_raises_once_and_clears_by_itself(self) -> None:
+        board = SignalBoard()
+        changes = [board.update([self.LOOK], float(at)) for at in range(5)]
+        raised = [change["kind/object"] for change in changes if change]
+        assert [signal.since for signal in raised] == [0.0]
+        cleared = [board.update([], float(at)) for at in range(4)]
+        assert [change for change in cleared if change] == [{"kind/object": None}]
+
+    def test_flicker_does_not_flap(self) -> None:
+        board = SignalBoard()
+        for at in range(3):
+            board.update([self.LOOK], float(at))
+        flicker = [board.update([self.LOOK] if at % 2 else [], float(at)) for at in range(20)]
+        assert not any(flicker)
+
+
+class TestObjects:
+    def test_every_broken_reference_is_told_at_once(self, tmp_path: Path) -> None:
+        path = tmp_path / "objects.ini"
+        path.write_text(
+            "[route:r]\npool = p\npriority = q\nteams = t\n[team:u]\n"
+            f"token_sha256 = {'0' * 64}\nlimit = l\n[limit:none]\n"
+        )
+        problems = check_objects(collect([edit.item for edit in read_objects([path])]))
+        assert len(problems) == 5
+
+    @pytest.mark.parametrize(
+        ("text", "told"),
+        [
+            ("[pool:p]\nserves = tea\n", "[pool:p] serves"),
+            ("[pool:p]\nserves = model\ncolour = red\n", "[pool:p] colour"),
+            ("[kettle:p]\n", "[kettle:p]"),
+            ("[limit:l]\nrequests_per_second = nan\n", "[limit:l] requests_per_second"),
+        ],
+    )
+    def test_malformed_object_is_named(self, tmp_path: Path, text: str, told: str) -> None:
+        path = tmp_path / "objects.ini"
+        path.write_text(text)
+        with pytest.raises(ObjectsError, match=told.replace("[", r"\[").replace("]", r"\]")):
+            read_objects([path])
+
+    def test_written_form_reads_back(self, tmp_path: Path) -> None:
+        source = Path(__file__).parent.parent / "examples" / "workshops.ini"
+        items = [edit.item for edit in read_objects([source])]
+        path = tmp_path / "again.ini"
+        path.write_text("\n".join(write_object(item, 3) for item in items))
+        edits = read_objects([path])
+        assert [edit.item for edit in edits] == items
+        assert {edit.version_read for edit in edits} == {3}
+
+
+class TestSettings:
+    GOOD = (
+        "[daemon]\nname = e\ndata_centre = d\nlisten = 127.0.0.1:1\npeer_listen = 127.0.0.1:2\n"
+        "[platform]\nurl = http://127.0.0.1:3\n[peers]\nkey_file = /k\n"
+    )
+
+    def test_good_settings_load(self, tmp_path: Path) -> None:
+        path = tmp_path / "settings.ini"
+        path.write_text(self.GOOD)
+        assert load_settings(path).daemon.name == "e"
+
+    @pytest.mark.parametrize(
+        ("old", "new", "told"),
+        [
+            ("name = e\n", "", "daemon. name"),
+            ("listen = 127.0.0.1:1", "listen = localhost:1", "daemon. listen"),
+            ("[peers]", "[pears]", "pears"),
+            ("key_file", "key_fiel", "peers. key_fiel"),
+            (
+                "url = http://127.0.0.1:3",
+                "url = http://127.0.0.1:3\ntimeout_ms = soon",
+                "timeout_ms",
+            ),
+        ],
+    )
+    def test_file_section_and_key_are_named(
+        self, tmp_path: Path, old: str, new: str, told: str
+    ) -> None:
+        path = tmp_path / "settings.ini"
+        path.write_text(self.GOOD.replace(old, new))
+        with pytest.raises(SettingsError, match=f"settings.ini.*{told}"):
+            load_settings(path)
