--- a/packages/ragwortpaddled/src/ragwortpaddled/_answer.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/_answer.py
@@ -1,5 +1,6 @@
 """One answer to a prompt while it is under way."""
 
+import asyncio
 import time
 from collections.abc import AsyncIterator
 
@@ -45,6 +46,7 @@
         )
         self._tokens = generator.generate(job)
         self._open = False
+        self._closing: asyncio.Future[None] | None = None
         self._outcome = "caller_left"
 
     async def first_text(self) -> str:
@@ -95,6 +97,11 @@
         prompt, answer = self._job.prompt_tokens, len(self._job.answer)
         return Usage(prompt, answer, prompt + answer)
 
+    def close_later(self) -> None:
+        """Close from where nothing can be awaited; does nothing for an answer that is closed."""
+        if self._open:
+            self._closing = asyncio.ensure_future(self.close())
+
     async def close(self) -> None:
         """Free the stages and the place."""
         if not self._open:
--- a/packages/ragwortpaddled/src/ragwortpaddled/_gateway.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/_gateway.py
@@ -154,7 +154,11 @@
                 kind=trace.SpanKind.SERVER,
                 attributes={"request.id": request_id},
             )
-            self.in_flight[request_id] = asyncio.current_task()
+            task = asyncio.current_task()
+            self.in_flight[request_id] = task
+            if task is not None:
+                # A caller may leave before its stream has begun, which then never ends either.
+                task.add_done_callback(lambda _: self._finish(request_id, span))
             path = request.url.path.decode()
             record = self._journal.open(RequestRecord(request_id, path, time.time()))
             try:
@@ -206,8 +210,9 @@
         return StreamedContent(content.type, stream)
 
     def _finish(self, request_id: str, span: trace.Span) -> None:
-        span.end()
-        self.in_flight.pop(request_id, None)
+        if request_id in self.in_flight:
+            del self.in_flight[request_id]
+            span.end()
 
     def _refuse(self, refusal: Refusal, request_id: str) -> Response:
         telemetry.refusals.add(1, {"code": refusal.code})
@@ -276,6 +281,9 @@
         self._admission.limits.admit(release, team, job.max_tokens)
         writer = AnswerWriter(prompt, job.request_id, int(time.time()))
         answer = Answer(self._admission, self._generator, release, team, route, job)
+        task = asyncio.current_task()
+        if task is not None:
+            task.add_done_callback(lambda _: answer.close_later())
         first = await answer.first_text()
         if prompt.stream:
 
