--- a/packages/ragwortpaddled/src/ragwortpaddled/_gateway.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/_gateway.py
@@ -53,7 +53,6 @@
 SERVICES_PREFIX = "/services/"
 EVENT_STREAM = b"text/event-stream"
 JSON = b"application/json"
-CHARACTERS_PER_TOKEN = 4
 
 logger = logging.getLogger(__name__)
 
--- a/packages/ragwortpaddled/src/ragwortpaddled/_settings.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/_settings.py
@@ -66,7 +66,6 @@
 
     max_body_bytes: Positive = 1_000_000
     max_requests_in_flight: Positive = 4096
-    max_queued_requests: Positive = 4096
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/ragwortpaddled/src/ragwortpaddled/protocol/_peers.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/_peers.py
@@ -64,18 +64,6 @@
     judgements: list[Judgement | None]
 
 
-class Explain(msgspec.Struct, frozen=True, tag="explain"):
-    """Asks what a daemon knows of a request or an object."""
-
-    name: str
-
-
-class ExplainReply(msgspec.Struct, frozen=True, tag="explain_reply"):
-    """Lines of what a daemon knows."""
-
-    lines: list[str]
-
-
 class Acknowledged(msgspec.Struct, frozen=True, tag="acknowledged"):
     """The message was taken in."""
 
@@ -90,8 +78,6 @@
     | ReleaseReply
     | CommitChanges
     | ChangesReply
-    | Explain
-    | ExplainReply
     | Acknowledged
 )
 
