End a peer server whose cancel was crossed by a message

Ruled out: the drain's waits, uvicorn's stop, services. Change: the loop looks at a flag. Before: the new test fails by time-out. After: it passes.

--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_peer_socket.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_peer_socket.py
@@ -34,6 +34,7 @@
         self._socket = pynng.Rep0(recv_max_size=MAX_MESSAGE_BYTES)
         self._socket.listen(f"tcp://{listen}")
         self._tasks: list[asyncio.Task[None]] = []
+        self._closing = False
 
     def start(self) -> None:
         """Start answering."""
@@ -42,6 +43,7 @@
 
     async def close(self) -> None:
         """Stop answering and close the listener."""
+        self._closing = True
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -49,7 +51,8 @@
 
     async def _answer(self, context: pynng.Context) -> None:
         with context:
-            while True:
+            # The library loses a cancel that a message crosses, so the loop looks for itself.
+            while not self._closing:
                 try:
                     reply = await self._reply_to(await context.arecv())
                     await context.asend(reply)
