--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_server.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_server.py
@@ -181,6 +181,9 @@
             if isinstance(event, h11.ConnectionClosed):
                 return None
             event = await self._next_whole_event()
+        head_bytes = sum(len(name) + len(value) for name, value in event.headers.raw_items())
+        if head_bytes + len(event.target) > limits.header_bytes:
+            raise _RefusedInputError(431, f"the head exceeds {limits.header_bytes} bytes")
         if self._http.they_are_waiting_for_100_continue:
             await self.send(h11.InformationalResponse(status_code=100, headers=[]))
         body = bytearray()
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,142 @@
+"""Placement of layers: whole chains, memory for the narrowest stage, repairs that move little."""
+
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from ragwortpaddled.protocol import AcceleratorKind, LayeredModel
+from ragwortpaddled.state import Chain, Engine, plan_chains, repair_chains, token_capacity
+
+MODEL = LayeredModel(
+    layers=80,
+    layer_mb=1750.0,
+    token_layer_mb=0.01065,
+    step_ms=0.85,
+    sequence_step_ms=0.0055,
+    context_step_ms=0.0074,
+    read_tokens_per_ms=272.0,
+    load_seconds=14.0,
+    usual_prompt_tokens=770.0,
+    usual_answer_tokens=150.0,
+    tokens_per_event=2,
+    activation_bytes=42600.0,
+    cross_link_mbps=6500.0,
+    slots=96,
+    max_loads=6,
+    kind_by_name={
+        "large": AcceleratorKind(36000.0, 3.1, 3.2),
+        "middle": AcceleratorKind(21600.0, 16.0, 8.2),
+        "small": AcceleratorKind(14400.0, 15.0, 15.0),
+    },
+)
+
+
+def fleet(count_by_kind_by_data_centre: dict[str, dict[str, int]]) -> list[Engine]:
+    return [
+        Engine(f"{data_centre}-{kind}-{index}", data_centre, kind)
+        for data_centre, count_by_kind in count_by_kind_by_data_centre.items()
+        for kind, count in count_by_kind.items()
+        for index in range(count)
+    ]
+
+
+THREE_DATA_CENTRES = fleet(
+    {
+        "a": {"large": 1, "middle": 8, "small": 5},
+        "b": {"large": 3, "middle": 3, "small": 5},
+        "c": {"large": 1, "middle": 4, "small": 8},
+    }
+)
+
+
+def assert_sound(chains: list[Chain], engines: list[Engine]) -> None:
+    """Hold that each chain runs every layer once, in order, on engines that have the memory."""
+    engine_by_id = {engine.id: engine for engine in engines}
+    used = [stage.engine_id for chain in chains for stage in chain]
+    assert len(used) == len(set(used))
+    for chain in chains:
+        point = 0
+        for stage in chain:
+            assert stage.layers.first == point
+            point = stage.layers.end
+            kind = MODEL.kind_by_name[engine_by_id[stage.engine_id].kind]
+            assert token_capacity(MODEL, kind, len(stage.layers)) > 0
+        assert point == MODEL.layers
+
+
+class TestPlan:
+    def test_chains_are_whole(self) -> None:
+        assert_sound(plan_chains(MODEL, THREE_DATA_CENTRES), THREE_DATA_CENTRES)
+
+    def test_every_stage_has_memory_for_a_crest(self) -> None:
+        """A crest of 120 sequences of 920 tokens fits into the narrowest stages together."""
+        chains = plan_chains(MODEL, THREE_DATA_CENTRES)
+        kind_by_id = {e.id: MODEL.kind_by_name[e.kind] for e in THREE_DATA_CENTRES}
+        narrowest = [
+            min(token_capacity(MODEL, kind_by_id[s.engine_id], len(s.layers)) for s in chain)
+            for chain in chains
+        ]
+        assert sum(narrowest) >= 120 * 920
+
+    def test_most_chains_stay_in_one_data_centre(self) -> None:
+        data_centre_by_id = {e.id: e.data_centre for e in THREE_DATA_CENTRES}
+        chains = plan_chains(MODEL, THREE_DATA_CENTRES)
+        crossing = [c for c in chains if len({data_centre_by_id[s.engine_id] for s in c}) > 1]
+        assert len(crossing) <= 1
+
+    def test_data_centres_lie_side_by_side(self) -> None:
+        data_centre_by_id = {e.id: e.data_centre for e in THREE_DATA_CENTRES}
+        for chain in plan_chains(MODEL, THREE_DATA_CENTRES):
+            places = [data_centre_by_id[stage.engine_id] for stage in chain]
+            changes = sum(a != b for a, b in zip(places, places[1:], strict=False))
+            assert changes == len(set(places)) - 1
+
+    def test_too_few_engines(self) -> None:
+        assert plan_chains(MODEL, fleet({"a": {"small": 4}})) == []
+
+    @settings(max_examples=60, deadline=None)
+    @given(
+        st.dictionaries(
+            st.sampled_from("abcd"),
+            st.dictionaries(st.sampled_from(sorted(MODEL.kind_by_name)), st.integers(0, 12)),
+        )
+    )
+    def test_any_fleet(self, counts: dict[str, dict[str, int]]) -> None:
+        engines = fleet(counts)
+        assert_sound(plan_chains(MODEL, engines), engines)
+
+
+class TestRepair:
+    def test_whole_chains_stay(self) -> None:
+        chains = plan_chains(MODEL, THREE_DATA_CENTRES)
+        lost = chains[0][0].engine_id
+        engines = [engine for engine in THREE_DATA_CENTRES if engine.id != lost]
+        repaired = repair_chains(MODEL, chains, engines)
+        assert_sound(repaired, engines)
+        assert all(chain in repaired for chain in chains[1:])
+
+    @pytest.mark.parametrize("kind", ["large", "middle", "small"])
+    def test_one_loss_leaves_as_many_chains(self, kind: str) -> None:
+        chains = plan_chains(MODEL, THREE_DATA_CENTRES)
+        lost = next(s.engine_id for c in chains for s in c if kind in s.engine_id)
+        engines = [engine for engine in THREE_DATA_CENTRES if engine.id != lost]
+        assert len(repair_chains(MODEL, chains, engines)) == len(chains)
+
+    def test_spare_takes_the_lost_place(self) -> None:
+        chains = plan_chains(MODEL, THREE_DATA_CENTRES)
+        lost = chains[0][-1]
+        engines = [engine for engine in THREE_DATA_CENTRES if engine.id != lost.engine_id]
+        spare = Engine("spare", "a", "large")
+        repaired = repair_chains(MODEL, chains, [*engines, spare])
+        assert any(s.engine_id == "spare" and s.layers == lost.layers for c in repaired for s in c)
+
+    @pytest.mark.parametrize("seed", range(20))
+    def test_losses_in_series(self, seed: int) -> None:
+        randomness = random.Random(seed)
+        engines = list(THREE_DATA_CENTRES)
+        chains = plan_chains(MODEL, engines)
+        while len(engines) > 12:
+            engines.remove(randomness.choice(engines))
+            chains = repair_chains(MODEL, chains, engines)
+            assert_sound(chains, engines)
