Failed stages: shared send budget, culprit by report, repairs that move little, news between daemons

Ruled out: admission (no refusal for lack of places). Change: a windowed budget by the settings' bounds and the daemons registered; the stalled path's report names the culprit; a refusal at once only pauses 150 ms; spares and neighbours fill a hole; daemons swap configuration and loads.

--- a/Makefile
+++ b/Makefile
@@ -22,8 +22,8 @@
 	$(PYTHON) -m pytest -q
 
 lint: $(VENV)/installed
-	$(PYTHON) -m black -q --check packages tests bench
-	$(PYTHON) -m ruff check -q packages tests bench
+	$(PYTHON) -m black -q --check packages tests bench platform
+	$(PYTHON) -m ruff check -q packages tests bench platform
 	$(PYTHON) -m mypy
 
 clean:
--- a/packages/ragwortpaddled/src/ragwortpaddled/_relay_daemon.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/_relay_daemon.py
@@ -12,9 +12,18 @@
 from ragwortpaddled import telemetry
 from ragwortpaddled._logs import log_to_stdout
 from ragwortpaddled._relay_settings import RelaySettings, load_relay_settings
-from ragwortpaddled.coordination import Dispatcher, Exchanger, Placer, Relay, RelayFleet
+from ragwortpaddled.coordination import (
+    Dispatcher,
+    Exchanger,
+    FaultFinder,
+    Placer,
+    Relay,
+    RelayFleet,
+    RelayPeers,
+)
 from ragwortpaddled.errors import SettingsError
 from ragwortpaddled.protocol import Dialect, Platform, StoreDialect
+from ragwortpaddled.state import BudgetBounds, SendBudget
 from ragwortpaddled.transport import (
     CallerLimits,
     Http1Server,
@@ -24,7 +33,7 @@
 )
 
 DRAIN_TICK_SECONDS = 0.05
-END_MARGIN_SECONDS = 0.6  # of the grace period, left for closing connections
+END_MARGIN_SECONDS = 1.2  # of the grace period, left for closing connections
 CLOSE_SECONDS = 0.5
 SETTINGS_POLL_SECONDS = 2.0  # the file may change without a signal
 
@@ -51,7 +60,20 @@
         self._exchanger = Exchanger(dialect, self._fleet.loads)
         holder = f"{section.name}/{time.time_ns()}"
         self._placer = Placer(self._fleet, platform, self._http, dialect, holder)
-        relay = Relay(self._fleet, self._dispatcher, self._exchanger, dialect, randomness)
+        retry = settings.retry
+        budget = SendBudget(BudgetBounds(retry.ratio, retry.slack, retry.window_seconds))
+        self._peers = RelayPeers(
+            self._fleet, platform, budget, section.name, section.peer_listen, randomness
+        )
+        relay = Relay(
+            self._fleet,
+            self._dispatcher,
+            self._exchanger,
+            FaultFinder(self._http, dialect),
+            budget,
+            dialect,
+            randomness,
+        )
         self._server = Http1Server(section.listen, relay.handle, self._limits)
         self._ready_server = Http1Server(section.ready_listen, self._answer_ready)
         self._metrics_server = Http1Server(section.metrics_listen, _answer_metrics)
@@ -73,6 +95,7 @@
             self._keep(follower.run)
         for duty in (
             self._placer.run,
+            self._peers.run,
             self._dispatcher.run,
             self._exchanger.run,
             self._watch_settings,
@@ -110,9 +133,9 @@
             task.cancel()
         try:
             async with asyncio.timeout(CLOSE_SECONDS):
-                await self._placer.close()
+                await asyncio.gather(self._placer.close(), self._peers.close())
         except TimeoutError:
-            logger.warning("the lease could not be given up in time")
+            logger.warning("the lease and the entry could not be given up in time")
         self._exchanger.connections.close()
         await self._http.close()
         logger.info("ended", extra={"fields": {"ms": int((time.monotonic() - began) * 1000)}})
--- a/packages/ragwortpaddled/src/ragwortpaddled/_relay_settings.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/_relay_settings.py
@@ -48,6 +48,17 @@
     balancer_lag_ms: Milliseconds = 2500
 
 
+@dataclass(frozen=True, slots=True)
+class RetrySection:
+    """How many sends beyond the first a pool may get, summed over all daemons."""
+
+    __pydantic_config__: ClassVar[ConfigDict] = _OPEN
+
+    ratio: Annotated[float, Field(ge=0, le=10)] = 0.2
+    slack: Annotated[float, Field(ge=0)] = 200.0
+    window_seconds: Annotated[float, Field(gt=0)] = 10.0
+
+
 @dataclass(frozen=True, slots=True)
 class LogSection:
     """What is logged to standard output."""
@@ -66,6 +77,7 @@
     relay: RelaySection
     store: StoreSection
     end: EndSection = field(default_factory=EndSection)
+    retry: RetrySection = field(default_factory=RetrySection)
     log: LogSection = field(default_factory=LogSection)
 
 
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/__init__.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/__init__.py
@@ -5,6 +5,7 @@
 from ragwortpaddled.coordination._directory import Directory
 from ragwortpaddled.coordination._dispatcher import Dispatcher
 from ragwortpaddled.coordination._explainer import Explainer
+from ragwortpaddled.coordination._fault_finder import FaultFinder
 from ragwortpaddled.coordination._generation import Generator, Job
 from ragwortpaddled.coordination._journal import Journal, RequestRecord
 from ragwortpaddled.coordination._ledger import Ledger
@@ -19,6 +20,7 @@
 from ragwortpaddled.coordination._relay import Relay
 from ragwortpaddled.coordination._relay_exchange import Exchanger
 from ragwortpaddled.coordination._relay_fleet import RelayFleet
+from ragwortpaddled.coordination._relay_peers import RelayPeers
 from ragwortpaddled.coordination._releases import ReleaseFollower
 from ragwortpaddled.coordination._services import ServiceRouter, Services, ServiceTarget, check_key
 from ragwortpaddled.coordination._signals import Observation, SignalBoard, Watchman
@@ -31,6 +33,7 @@
     "Dispatcher",
     "Exchanger",
     "Explainer",
+    "FaultFinder",
     "Fleet",
     "Generator",
     "Job",
@@ -46,6 +49,7 @@
     "RecoveryGate",
     "Relay",
     "RelayFleet",
+    "RelayPeers",
     "ReleaseFollower",
     "RequestRecord",
     "RetryBudget",
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_dispatcher.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_dispatcher.py
@@ -88,9 +88,7 @@
 class Dispatcher:
     """The places of all pools, as one daemon sees them."""
 
-    def __init__(
-        self, fleet: RelayFleet, data_centre: str, random_source: random.Random
-    ) -> None:
+    def __init__(self, fleet: RelayFleet, data_centre: str, random_source: random.Random) -> None:
         self._fleet = fleet
         self._data_centre = data_centre
         self._random = random_source
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay.py
@@ -8,12 +8,13 @@
 
 from ragwortpaddled import telemetry
 from ragwortpaddled.coordination._dispatcher import Dispatcher, Target, Work
-from ragwortpaddled.coordination._recovery import RetryBudget
+from ragwortpaddled.coordination._fault_finder import FaultFinder
 from ragwortpaddled.coordination._relay_exchange import Answer, Exchanger
 from ragwortpaddled.coordination._relay_fleet import RelayFleet
 from ragwortpaddled.errors import (
     EndpointError,
     MaybeRunError,
+    NoRoomError,
     NotRunError,
     RefusedError,
     ReplyLostError,
@@ -27,7 +28,7 @@
     Repeat,
     RequestFacts,
 )
-from ragwortpaddled.state import EventSplitter, PathDemand, pick_pool
+from ragwortpaddled.state import EventSplitter, PathDemand, SendBudget, pick_pool
 from ragwortpaddled.transport import Responder, ServerRequest
 
 # A caller gives a stream that has not begun up after two seconds, whatever its deadline.
@@ -49,15 +50,18 @@
         fleet: RelayFleet,
         dispatcher: Dispatcher,
         exchanger: Exchanger,
+        faults: FaultFinder,
+        budget: SendBudget,
         dialect: Dialect,
         random_source: random.Random,
     ) -> None:
         self._fleet = fleet
         self._dispatcher = dispatcher
         self._exchanger = exchanger
+        self._faults = faults
+        self._budget = budget
         self._dialect = dialect
         self._random = random_source
-        self._budget = RetryBudget()
 
     async def handle(self, request: ServerRequest, responder: Responder) -> None:
         """Serve one request; a cancel means that its caller left."""
@@ -91,7 +95,15 @@
         if facts.deadline_ms is not None:
             seconds = min(seconds, facts.deadline_ms / 1000)
         service = _RelayedRequest(
-            self._dispatcher, self._exchanger, self._budget, request, facts, responder, route, pool
+            self._dispatcher,
+            self._exchanger,
+            self._faults,
+            self._budget,
+            request,
+            facts,
+            responder,
+            route,
+            pool,
         )
         service.began = began
         service.deadline = began + seconds
@@ -118,7 +130,8 @@
         self,
         dispatcher: Dispatcher,
         exchanger: Exchanger,
-        budget: RetryBudget,
+        faults: FaultFinder,
+        budget: SendBudget,
         request: ServerRequest,
         facts: RequestFacts,
         responder: Responder,
@@ -127,6 +140,7 @@
     ) -> None:
         self._dispatcher = dispatcher
         self._exchanger = exchanger
+        self._faults = faults
         self._budget = budget
         self._request = request
         self._facts = facts
@@ -219,7 +233,8 @@
                     last_event_id=self._splitter.last_id,
                 )
         except TimeoutError as error:
-            raise MaybeRunError(target.endpoint.id, "no answer began in time") from error
+            culprit = await self._faults.culprit(target, self._facts.attempt_id)
+            raise MaybeRunError(culprit or "", "no answer began in time") from error
         try:
             if streams and answer.status < 300:
                 await self._relay_stream(answer, target)
@@ -253,7 +268,8 @@
                 async with asyncio.timeout(STALL_SECONDS if self._responder.started else None):
                     data = await answer.read()
             except TimeoutError as error:
-                raise MaybeRunError(target.endpoint.id, "the stream stalled") from error
+                culprit = await self._faults.culprit(target, self._facts.attempt_id)
+                raise MaybeRunError(culprit or "", "the stream stalled") from error
             if data is None:
                 break
             events = self._splitter.feed(data)
@@ -269,8 +285,12 @@
 
     def _note_failure(self, error: EndpointError, target: Target) -> None:
         self._splitter.drop_partial()
-        self._avoided.add(error.endpoint)
-        seconds = target.loads.fail(error.endpoint)
+        seconds = 0.0
+        if isinstance(error, NoRoomError):
+            seconds = target.loads.turn_away(error.endpoint)
+        elif error.endpoint:
+            self._avoided.add(error.endpoint)
+            seconds = target.loads.fail(error.endpoint)
         _note(
             self._facts,
             "attempt failed",
@@ -279,6 +299,7 @@
             not_run=isinstance(error, NotRunError),
             suspect_ms=int(seconds * 1000),
             last_event=self._splitter.last_id,
+            budget_left=int(self._budget.left(self._pool.name)),
         )
 
     async def _fail(self, status: int, reason: str) -> str:
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_exchange.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_exchange.py
@@ -4,10 +4,16 @@
 import logging
 import time
 
-from ragwortpaddled.errors import MaybeRunError, NotRunError, NotSentError, ReplyLostError
+from ragwortpaddled.coordination._dispatcher import Target
+from ragwortpaddled.errors import (
+    MaybeRunError,
+    NoRoomError,
+    NotRunError,
+    NotSentError,
+    ReplyLostError,
+)
 from ragwortpaddled.protocol import Dialect, Forwarding, PathRoute, RequestFacts, ResponseFacts
 from ragwortpaddled.state import EndpointLoads
-from ragwortpaddled.coordination._dispatcher import Target
 from ragwortpaddled.transport import Http1Connection, Http1Pool, RawHeaders, ServerRequest
 
 # Headers that concern one connection only (RFC 9110, 7.6.1), and the length that is set anew.
@@ -24,6 +30,8 @@
     }
 )
 
+AT_ONCE_SECONDS = 0.5  # engines wait 2 s for one that is gone before they refuse
+
 logger = logging.getLogger(__name__)
 
 
@@ -93,9 +101,7 @@
         """
         endpoint = target.endpoint
         try:
-            connection = await self.connections.take(
-                endpoint.address, fresh=not route.repeatable
-            )
+            connection = await self.connections.take(endpoint.address, fresh=not route.repeatable)
         except NotSentError as error:
             raise NotRunError(endpoint.id, str(error)) from error
         forwarding = Forwarding(
@@ -127,6 +133,7 @@
         headers: RawHeaders,
     ) -> Answer:
         endpoint_id = target.endpoint.id
+        sent_at = time.monotonic()
         try:
             await connection.send(request.method, request.target, headers, request.body)
             head = await connection.read_head()
@@ -137,7 +144,9 @@
             self._loads.state(endpoint_id, said.running)
         if said.not_run:
             culprit = target.id_at(said.fault_address) if said.fault_address else None
-            raise NotRunError(culprit or endpoint_id, f"status {head.status}")
+            at_once = time.monotonic() - sent_at < AT_ONCE_SECONDS
+            error_type = NoRoomError if at_once else NotRunError
+            raise error_type(culprit or endpoint_id, f"status {head.status}")
         if said.attempt_id and said.attempt_id != facts.attempt_id:
             raise MaybeRunError(endpoint_id, "the answer names another request")
         if head.status < 300 and not said.sealed:
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_fleet.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_fleet.py
@@ -74,7 +74,7 @@
         self.config_value = value
         self.adopted_at = time.monotonic()
         self.routes = RouteTable(config.routes)
-        fields = {"version": config.version, "routes": len(config.routes)}
+        fields: dict[str, object] = {"version": config.version, "routes": len(config.routes)}
         logger.info("configuration adopted", extra={"fields": fields})
         self._notify()
         return True
--- a/packages/ragwortpaddled/src/ragwortpaddled/errors.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/errors.py
@@ -95,6 +95,10 @@
     """An endpoint certainly did not run a request, and never will."""
 
 
+class NoRoomError(NotRunError):
+    """An endpoint refused a request at once, so it lives."""
+
+
 class MaybeRunError(EndpointError):
     """An endpoint may have run a request, but gave no usable answer."""
 
--- a/packages/ragwortpaddled/src/ragwortpaddled/protocol/_peers.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/_peers.py
@@ -64,6 +64,21 @@
     judgements: list[Judgement | None]
 
 
+class RelayNews(msgspec.Struct, frozen=True, tag="relay_news"):
+    """What a relay daemon has in force, and its running requests by endpoint."""
+
+    name: str
+    config_version: int
+    running: dict[str, int]
+
+
+class RelayNewsReply(msgspec.Struct, frozen=True, tag="relay_news_reply"):
+    """The replier's news, and its configuration where that is newer."""
+
+    news: RelayNews
+    config: str
+
+
 class Acknowledged(msgspec.Struct, frozen=True, tag="acknowledged"):
     """The message was taken in."""
 
@@ -78,6 +93,8 @@
     | ReleaseReply
     | CommitChanges
     | ChangesReply
+    | RelayNews
+    | RelayNewsReply
     | Acknowledged
 )
 
--- a/packages/ragwortpaddled/src/ragwortpaddled/state/__init__.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/__init__.py
@@ -32,6 +32,14 @@
     operation_key,
     shard_of,
 )
+from ragwortpaddled.state._placement import (
+    Chain,
+    Engine,
+    Stage,
+    plan_chains,
+    repair_chains,
+    token_capacity,
+)
 from ragwortpaddled.state._release import (
     HISTORY_PREFIX,
     OBJECTS_PREFIX,
@@ -42,16 +50,9 @@
     history_key,
     object_key,
 )
-from ragwortpaddled.state._placement import (
-    Chain,
-    Engine,
-    Stage,
-    plan_chains,
-    repair_chains,
-    token_capacity,
-)
 from ragwortpaddled.state._rendezvous import choose, rank
 from ragwortpaddled.state._route_table import RouteTable, pick_pool
+from ragwortpaddled.state._send_budget import BudgetBounds, SendBudget
 from ragwortpaddled.state._shard import (
     SEAL_BYTES,
     Shard,
@@ -63,6 +64,15 @@
 from ragwortpaddled.state._shares import Claim, divide, own_part
 
 __all__ = [
+    "HISTORY_PREFIX",
+    "MAX_KEY_BYTES",
+    "MAX_RECORDED_BODY_BYTES",
+    "OBJECTS_PREFIX",
+    "RELEASE_KEY",
+    "SEAL_BYTES",
+    "SETTLE_SECONDS",
+    "TYPE_BY_KIND",
+    "BudgetBounds",
     "Chain",
     "Circuit",
     "CircuitState",
@@ -75,11 +85,7 @@
     "Engine",
     "EventSplitter",
     "GossipTable",
-    "HISTORY_PREFIX",
     "Limit",
-    "MAX_KEY_BYTES",
-    "MAX_RECORDED_BODY_BYTES",
-    "OBJECTS_PREFIX",
     "ObjectEdit",
     "OperatorObject",
     "PathChoice",
@@ -87,17 +93,14 @@
     "Pool",
     "Priority",
     "Problem",
-    "RELEASE_KEY",
     "Release",
     "Route",
     "RouteTable",
-    "SEAL_BYTES",
-    "SETTLE_SECONDS",
+    "SendBudget",
     "Shard",
     "ShardDraft",
     "ShardHead",
     "Stage",
-    "TYPE_BY_KIND",
     "Team",
     "check_objects",
     "choose",
--- a/packages/ragwortpaddled/src/ragwortpaddled/state/_endpoint_loads.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/_endpoint_loads.py
@@ -8,6 +8,7 @@
 import time
 from dataclasses import dataclass
 
+FULL_SECONDS = 0.15  # an engine that was full has room again after some steps
 SUSPECT_SECONDS = 1.0  # first exclusion; a crashed endpoint is back after some seconds
 MAX_SUSPECT_SECONDS = 4.0
 STATED_SECONDS = 2.0  # a stated load says little after the usual length of a generation
@@ -19,15 +20,17 @@
 
     own: int = 0
     own_tokens: float = 0.0
+    peers: int = 0
     stated_others: int = 0
     stated_at: float = 0.0
     suspect_until: float = 0.0
     failures: int = 0
 
     def others(self, now: float) -> float:
-        """Return the requests of other daemons, fading with the age of what is known."""
+        """Return the requests of other daemons: what peers say, or what was stated of late."""
         age = now - self.stated_at
-        return self.stated_others * max(0.0, 1.0 - age / STATED_SECONDS)
+        stated = self.stated_others * max(0.0, 1.0 - age / STATED_SECONDS)
+        return max(float(self.peers), stated)
 
     def running(self, now: float) -> float:
         """Return the requests that the endpoint carries."""
@@ -43,6 +46,24 @@
 
     def __init__(self) -> None:
         self.by_id: dict[str, EndpointLoad] = {}
+        self._running_by_peer: dict[str, dict[str, int]] = {}
+
+    def own_running(self) -> dict[str, int]:
+        """Return the own running requests by endpoint."""
+        return {endpoint_id: load.own for endpoint_id, load in self.by_id.items() if load.own}
+
+    def take_peer(self, name: str, running: dict[str, int]) -> None:
+        """Take in the running requests of another daemon."""
+        for endpoint_id, count in self._running_by_peer.get(name, {}).items():
+            self.of(endpoint_id).peers -= count
+        for endpoint_id, count in running.items():
+            self.of(endpoint_id).peers += count
+        self._running_by_peer[name] = running
+
+    def forget_peer(self, name: str) -> None:
+        """Drop what another daemon said, since it cannot be reached."""
+        self.take_peer(name, {})
+        del self._running_by_peer[name]
 
     def of(self, endpoint_id: str) -> EndpointLoad:
         """Return the load of an endpoint, which may not have been used yet."""
@@ -77,6 +98,12 @@
         load.suspect_until = time.monotonic() + seconds
         return seconds
 
+    def turn_away(self, endpoint_id: str) -> float:
+        """Leave an endpoint alone that refused at once, so it lives but has no room."""
+        load = self.of(endpoint_id)
+        load.suspect_until = max(load.suspect_until, time.monotonic() + FULL_SECONDS)
+        return FULL_SECONDS
+
     def succeed(self, endpoint_id: str) -> bool:
         """Forget the failures of an endpoint; return whether there were any."""
         load = self.of(endpoint_id)
@@ -88,5 +115,5 @@
     def forget(self, known_ids: set[str]) -> None:
         """Drop idle endpoints that are no longer listed."""
         for endpoint_id, load in list(self.by_id.items()):
-            if endpoint_id not in known_ids and load.own == 0:
+            if endpoint_id not in known_ids and load.own == 0 and load.peers == 0:
                 del self.by_id[endpoint_id]
--- a/packages/ragwortpaddled/src/ragwortpaddled/state/_placement.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/_placement.py
@@ -7,7 +7,7 @@
 
 import math
 from collections import defaultdict
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
 from ragwortpaddled.protocol import AcceleratorKind, LayeredModel, LayerRange
@@ -70,20 +70,27 @@
 def repair_chains(
     model: LayeredModel, chains: Sequence[Chain], engines: Sequence[Engine]
 ) -> list[Chain]:
-    """Return the plan after engines came or went; whole chains stay as they are."""
+    """Return the plan after engines came or went.
+
+    Whole chains stay as they are. A broken one keeps its engines where they are if spare ones and
+    its own neighbours can hold the lost layers, since each layer that moves has to be loaded.
+    """
     engine_by_id = {engine.id: engine for engine in engines}
-    whole = [chain for chain in chains if all(s.engine_id in engine_by_id for s in chain)]
-    used = {stage.engine_id for chain in whole for stage in chain}
-    free = [engine for engine in engines if engine.id not in used]
+    kept = [chain for chain in chains if all(s.engine_id in engine_by_id for s in chain)]
+    used = {stage.engine_id for chain in chains for stage in chain}
+    spares = [engine for engine in engines if engine.id not in used]
+    dissolved = []
     for chain in chains:
-        if chain in whole:
+        if chain in kept:
+            continue
+        filled = _fill_holes(model, chain, engine_by_id, spares)
+        if filled is None:
+            dissolved += [engine_by_id[s.engine_id] for s in chain if s.engine_id in engine_by_id]
             continue
-        filled = _fill_holes(model, chain, engine_by_id, free)
-        if filled is not None:
-            whole.append(filled)
-            taken = {stage.engine_id for stage in filled}
-            free = [engine for engine in free if engine.id not in taken]
-    return whole + plan_chains(model, free)
+        kept.append(filled)
+        taken = {stage.engine_id for stage in filled}
+        spares = [engine for engine in spares if engine.id not in taken]
+    return kept + plan_chains(model, [*dissolved, *spares])
 
 
 def _usual_tokens(model: LayeredModel) -> float:
@@ -94,29 +101,90 @@
     model: LayeredModel,
     chain: Chain,
     engine_by_id: Mapping[str, Engine],
-    free: Iterable[Engine],
+    spares: Sequence[Engine],
 ) -> Chain | None:
-    """Put a spare engine in the place of each lost one, if spares fit."""
-    members = {stage.engine_id for stage in chain}
-    spares = [engine for engine in free if engine.id not in members]
+    """Cover the lost layers with spare engines, then with the neighbours of each hole."""
     floor_tokens = MIN_SEQUENCES_PER_CHAIN * _usual_tokens(model)
-    filled = []
-    for stage in chain:
-        if stage.engine_id in engine_by_id:
-            filled.append(stage)
-            continue
-        fitting = [
-            spare
-            for spare in spares
-            if layer_limit(model, model.kind_by_name[spare.kind], floor_tokens) >= len(stage.layers)
-        ]
-        if not fitting:
+    left = list(spares)
+    present = [s for s in chain if s.engine_id in engine_by_id]
+    if not present:
+        return None
+    homes = [engine_by_id[s.engine_id].data_centre for s in present]
+    stages: list[Stage] = []
+    point = 0
+    for stage in [*present, None]:
+        end = stage.layers.first if stage is not None else model.layers
+        if end > point:
+            stages += _cover(model, LayerRange(point, end), left, homes, floor_tokens)
+        if stage is not None:
+            stages.append(stage)
+            point = stage.layers.end
+    return _stretch(model, stages, engine_by_id, floor_tokens)
+
+
+def _cover(
+    model: LayeredModel,
+    hole: LayerRange,
+    spares: list[Engine],
+    homes: Sequence[str],
+    floor_tokens: float,
+) -> list[Stage]:
+    """Take spares for a hole, near ones first, and divide it between them by what they can hold."""
+
+    def limit_of(engine: Engine) -> int:
+        return layer_limit(model, model.kind_by_name[engine.kind], floor_tokens)
+
+    chosen: list[Engine] = []
+    missing = len(hole)
+    while missing > 0 and spares:
+        best = max(spares, key=lambda e: (homes.count(e.data_centre), limit_of(e), e.id))
+        spares.remove(best)
+        chosen.append(best)
+        missing -= limit_of(best)
+    total = sum(limit_of(engine) for engine in chosen)
+    covered = min(total, len(hole))
+    stages = []
+    first, assigned = hole.first, 0
+    for engine in chosen:
+        assigned += limit_of(engine)
+        end = hole.first + covered * assigned // total
+        if end > first:
+            stages.append(Stage(engine.id, LayerRange(first, end)))
+        first = end
+    return stages
+
+
+def _stretch(
+    model: LayeredModel,
+    stages: Sequence[Stage],
+    engine_by_id: Mapping[str, Engine],
+    floor_tokens: float,
+) -> Chain | None:
+    """Let the stages beside each hole take over its layers, if they have room for them."""
+    ranges = [[stage.layers.first, stage.layers.end] for stage in stages]
+
+    def room(index: int) -> int:
+        kind = model.kind_by_name[engine_by_id[stages[index].engine_id].kind]
+        return layer_limit(model, kind, floor_tokens) - (ranges[index][1] - ranges[index][0])
+
+    for index in range(len(stages)):
+        before = ranges[index - 1][1] if index else 0
+        missing = ranges[index][0] - before
+        if index:
+            grown = max(0, min(missing, room(index - 1)))
+            ranges[index - 1][1] += grown
+            missing -= grown
+        ranges[index][0] -= max(0, min(missing, room(index)))
+        if ranges[index][0] > (ranges[index - 1][1] if index else 0):
             return None
-        home = [engine_by_id[s.engine_id].data_centre for s in chain if s.engine_id in engine_by_id]
-        spare = max(fitting, key=lambda e: (home.count(e.data_centre), e.id))
-        spares.remove(spare)
-        filled.append(Stage(spare.id, stage.layers))
-    return tuple(filled)
+    last = len(stages) - 1
+    ranges[last][1] += max(0, min(model.layers - ranges[last][1], room(last)))
+    if ranges[last][1] < model.layers:
+        return None
+    return tuple(
+        Stage(stage.engine_id, LayerRange(first, end))
+        for stage, (first, end) in zip(stages, ranges, strict=True)
+    )
 
 
 def _chain_rate(model: LayeredModel, engines: Sequence[Engine], tokens: float) -> float:
@@ -156,9 +224,7 @@
     limit: int
 
 
-def _group(
-    model: LayeredModel, engines: Sequence[Engine], tokens: float
-) -> list[list[_Member]]:
+def _group(model: LayeredModel, engines: Sequence[Engine], tokens: float) -> list[list[_Member]]:
     """Form groups that can hold all layers: inside data centres first, then across them."""
     members_by_data_centre: defaultdict[str, list[_Member]] = defaultdict(list)
     for engine in sorted(engines, key=lambda e: e.id):
@@ -192,9 +258,7 @@
     return group
 
 
-def _take_across(
-    members_by_data_centre: dict[str, list[_Member]], layers: int
-) -> list[_Member]:
+def _take_across(members_by_data_centre: dict[str, list[_Member]], layers: int) -> list[_Member]:
     """Take members of as few data centres as can be, each data centre's side by side."""
     group: list[_Member] = []
     missing = layers
--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_byte_stream.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_byte_stream.py
@@ -12,7 +12,7 @@
     """The bytes of one connection, read and written by one task."""
 
     def __init__(self, on_connect: "Callable[[ByteStream], None] | None" = None) -> None:
-        self.on_end: Callable[[], None] | None = None
+        self.on_end: Callable[[], object] | None = None
         self.ended = False
         self.error: Exception | None = None
         self._on_connect = on_connect
--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_client.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_client.py
@@ -51,7 +51,9 @@
         :raises ReplyLostError: the connection broke; the request may have arrived
         """
         try:
-            data = self._http.send(h11.Request(method=method, target=target, headers=headers)) or b""
+            data = (
+                self._http.send(h11.Request(method=method, target=target, headers=headers)) or b""
+            )
             if body:
                 data += self._http.send(h11.Data(data=body)) or b""
             data += self._http.send(h11.EndOfMessage()) or b""
--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_server.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_server.py
@@ -6,8 +6,9 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
+from typing import Any
 
 import h11
 
@@ -83,7 +84,7 @@
         await self._connection.send(h11.EndOfMessage())
 
 
-Handler = Callable[[ServerRequest, Responder], Awaitable[None]]
+Handler = Callable[[ServerRequest, Responder], Coroutine[Any, Any, None]]
 
 
 class _ServerConnection:
--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_keyring.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_keyring.py
@@ -27,33 +27,42 @@
     then remove the old one.
     """
 
-    def __init__(self, path: Path) -> None:
+    def __init__(self, path: Path | None = None) -> None:
         self._path = path
         self._read_at_ns = 0
         self._sealing_id = ""
         self._key_by_id: dict[str, bytes] = {}
-        self.reload()
+        if path is not None:
+            self.reload()
 
     def reload(self) -> bool:
         """Read the file again if it has changed.
 
         :raises SettingsError: the file is missing or malformed
         """
+        if self._path is None:
+            return False
         try:
             changed_at_ns = self._path.stat().st_mtime_ns
             if changed_at_ns == self._read_at_ns:
                 return False
-            lines = self._path.read_text().split("\n")
-            pairs = [line.split() for line in lines if line.strip()]
-            key_by_id = {key_id: bytes.fromhex(value) for key_id, value in pairs}
+            self.load(self._path.read_text())
         except (OSError, ValueError) as error:
             raise SettingsError(f"{self._path}: {error}") from error
+        self._read_at_ns = changed_at_ns
+        return True
+
+    def load(self, text: str) -> None:
+        """Take keys from ``id hex`` lines.
+
+        :raises ValueError: a line is malformed, or there is none
+        """
+        pairs = [line.split() for line in text.split("\n") if line.strip()]
+        key_by_id = {key_id: bytes.fromhex(value) for key_id, value in pairs}
         if not key_by_id:
-            raise SettingsError(f"{self._path}: holds no key")
+            raise ValueError("holds no key")
         self._key_by_id = key_by_id
         self._sealing_id = next(iter(key_by_id))
-        self._read_at_ns = changed_at_ns
-        return True
 
     def seal(self, body: bytes, context: bytes) -> bytes:
         """Wrap a body; the receiver must see the same context."""
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -169,7 +169,7 @@
             writer.write(answer)
 
         listener = await asyncio.start_server(answer_twice, "127.0.0.1", 0)
-        address = "127.0.0.1:%d" % listener.sockets[0].getsockname()[1]
+        address = f"127.0.0.1:{listener.sockets[0].getsockname()[1]}"
         pool = Http1Pool()
         connection = await pool.take(address)
         await connection.send(b"GET", b"/", [(b"Host", b"h")], b"")
@@ -192,7 +192,7 @@
             writer.transport.abort()
 
         listener = await asyncio.start_server(reset_midway, "127.0.0.1", 0)
-        address = "127.0.0.1:%d" % listener.sockets[0].getsockname()[1]
+        address = f"127.0.0.1:{listener.sockets[0].getsockname()[1]}"
         connection = await Http1Pool().take(address)
         await connection.send(b"GET", b"/", [(b"Host", b"h")], b"")
         await connection.read_head()
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,5 +1,6 @@
 """Placement of layers: whole chains, memory for the narrowest stage, repairs that move little."""
 
+import itertools
 import random
 
 import pytest
@@ -89,7 +90,7 @@
         data_centre_by_id = {e.id: e.data_centre for e in THREE_DATA_CENTRES}
         for chain in plan_chains(MODEL, THREE_DATA_CENTRES):
             places = [data_centre_by_id[stage.engine_id] for stage in chain]
-            changes = sum(a != b for a, b in zip(places, places[1:], strict=False))
+            changes = sum(a != b for a, b in itertools.pairwise(places))
             assert changes == len(set(places)) - 1
 
     def test_too_few_engines(self) -> None:
@@ -131,6 +132,16 @@
         repaired = repair_chains(MODEL, chains, [*engines, spare])
         assert any(s.engine_id == "spare" and s.layers == lost.layers for c in repaired for s in c)
 
+    def test_spares_leave_the_other_stages_where_they_are(self) -> None:
+        """Each layer that moves is loaded again, and its chain serves nothing meanwhile."""
+        chains = plan_chains(MODEL, THREE_DATA_CENTRES)
+        lost = chains[0][2]
+        engines = [engine for engine in THREE_DATA_CENTRES if engine.id != lost.engine_id]
+        repaired = repair_chains(MODEL, chains, engines)
+        before = {stage for chain in chains for stage in chain}
+        moved = [s for chain in repaired for s in chain if s not in before]
+        assert sum(len(stage.layers) for stage in moved) == len(lost.layers)
+
     @pytest.mark.parametrize("seed", range(20))
     def test_losses_in_series(self, seed: int) -> None:
         randomness = random.Random(seed)
