--- a/packages/ragwortpaddled/src/ragwortpaddled/_relay_daemon.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/_relay_daemon.py
@@ -87,6 +87,12 @@
         loop.add_signal_handler(signal.SIGTERM, self._stop.set)
         loop.add_signal_handler(signal.SIGINT, self._stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
+        await self.start()
+        await self._stop.wait()
+        await self.end()
+
+    async def start(self) -> None:
+        """Listen and take up every duty; raises ``OSError`` if an address cannot be bound."""
         fields = {"name": self._settings.relay.name, "listen": self._settings.relay.listen}
         logger.info("starting", extra={"fields": fields})
         for server in (self._ready_server, self._server, self._metrics_server):
@@ -101,8 +107,6 @@
             self._watch_settings,
         ):
             self._keep(duty)
-        await self._stop.wait()
-        await self._end()
 
     def _keep(self, duty: Callable[[], Coroutine[Any, Any, None]]) -> None:
         self._tasks.append(asyncio.create_task(self._run_duty(duty)))
@@ -115,7 +119,8 @@
             logger.exception("a duty failed")
             self._stop.set()
 
-    async def _end(self) -> None:
+    async def end(self) -> None:
+        """Finish what runs within the grace period, then close everything."""
         began = time.monotonic()
         section = self._settings.end
         self._server.draining = True
@@ -128,7 +133,9 @@
         if self._server.in_flight:
             fields = {"in_flight": self._server.in_flight}
             logger.warning("requests cut by the end of the grace period", extra={"fields": fields})
-        self._server.abort()
+        for server in (self._server, self._ready_server, self._metrics_server):
+            server.stop_accepting()
+            server.abort()
         for task in self._tasks:
             task.cancel()
         try:
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_fleet.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_fleet.py
@@ -65,8 +65,7 @@
                 StoredObject(self._dialect.config_key, version, value)
             )
         except ObjectsError as error:
-            fields = {"reason": str(error)}
-            logger.error("configuration not adopted", extra={"fields": fields})
+            logger.error("configuration not adopted", extra={"fields": {"reason": str(error)}})
             return False
         if self.config is not None and config.version <= self.config.version:
             return False
@@ -74,7 +73,7 @@
         self.config_value = value
         self.adopted_at = time.monotonic()
         self.routes = RouteTable(config.routes)
-        fields: dict[str, object] = {"version": config.version, "routes": len(config.routes)}
+        fields = {"version": config.version, "routes": len(config.routes)}
         logger.info("configuration adopted", extra={"fields": fields})
         self._notify()
         return True
--- /dev/null
+++ b/packages/standins/src/ragwortpaddle_standins/users_platform.py
@@ -0,0 +1,294 @@
+"""Stand-ins that speak the users' platform: its store, layered engines and plain services.
+
+They run in the test's own event loop, on ports of the system. Faults are attributes that a test
+sets; what reached an endpoint is noted for the test to look at.
+"""
+
+import asyncio
+import socket
+from collections import Counter
+from dataclasses import dataclass, field
+from urllib.parse import parse_qs, urlsplit
+
+import msgspec
+from ragwortpaddled.transport import Http1Server, Responder, ServerRequest
+
+EVENT_SECONDS = 0.005
+STALL_SECONDS = 2.0
+JSON = [(b"Content-Type", b"application/json")]
+
+
+def free_address() -> str:
+    """Return an address of loopback whose port was free just now."""
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{free.getsockname()[1]}"
+
+
+class Store:
+    """The metadata store: kinds, names, one revision, watches."""
+
+    def __init__(self) -> None:
+        self.address = free_address()
+        self.revision = 1
+        self.object_by_key: dict[str, dict] = {}
+        self.calls: Counter[str] = Counter()
+        self.refuse = False
+        self.lose_writes = 0
+        self.history_from = 0
+        self._changes: list[tuple[int, str, bool]] = []
+        self._changed = asyncio.Event()
+        self._server = Http1Server(self.address, self._handle)
+
+    async def start(self) -> None:
+        """Start listening."""
+        await self._server.start()
+
+    def stop(self) -> None:
+        """Reset every connection and listen no more."""
+        self._server.stop_accepting()
+        self._server.abort()
+
+    def put(self, kind: str, name: str, spec: object) -> int:
+        """Write an object as its owner would; return its revision."""
+        self.revision += 1
+        key = f"{kind}/{name}"
+        metadata = {"name": name, "revision": self.revision, "finalizers": [], "deleting": False}
+        self.object_by_key[key] = {"metadata": metadata, "spec": spec, "status": None}
+        self._note(key, removed=False)
+        return self.revision
+
+    def remove(self, kind: str, name: str) -> None:
+        """Remove an object."""
+        self.revision += 1
+        self._note(f"{kind}/{name}", removed=True)
+        del self.object_by_key[f"{kind}/{name}"]
+
+    def forget_history(self) -> None:
+        """Drop the history, which cuts the watches."""
+        self.history_from = self.revision + 1
+        self._wake()
+
+    def _note(self, key: str, *, removed: bool) -> None:
+        self._changes.append((self.revision, key, removed))
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _handle(self, request: ServerRequest, responder: Responder) -> None:
+        url = urlsplit(request.target.decode())
+        parts = url.path.removeprefix("/api/objects/").split("/")
+        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        self.calls[request.method.decode()] += 1
+        if self.refuse:
+            await responder.send(503, [], b"")
+            return
+        status, body = await self._call(request, parts, query)
+        if request.method != b"GET" and self.lose_writes:
+            self.lose_writes -= 1
+            raise ConnectionResetError("the answer is lost")
+        await responder.send(status, JSON, msgspec.json.encode(body))
+
+    async def _call(
+        self, request: ServerRequest, parts: list[str], query: dict[str, str]
+    ) -> tuple[int, object]:
+        key = "/".join(parts)
+        known = self.object_by_key.get(key)
+        if request.method == b"GET" and "watch" in query:
+            return await self._watch(parts[0], int(query["watch"]), int(query["waitMs"]))
+        if request.method == b"GET" and len(parts) == 1:
+            items = [o for k, o in self.object_by_key.items() if k.startswith(parts[0] + "/")]
+            return 200, {"items": items, "hasMore": False, "storeRevision": self.revision}
+        if request.method == b"POST":
+            return self._create(parts[0], msgspec.json.decode(request.body))
+        if known is None:
+            return 404, {"error": "no such object"}
+        if request.method == b"GET":
+            return 200, known
+        wanted = query.get("revision")
+        body = msgspec.json.decode(request.body) if request.body else {}
+        wanted = wanted or body.get("metadata", {}).get("revision")
+        if wanted is not None and int(wanted) != known["metadata"]["revision"]:
+            return 409, known
+        if request.method == b"DELETE":
+            self.remove(*parts)
+            return 200, known
+        self.put(parts[0], parts[1], body["spec"])
+        return 200, self.object_by_key[key]
+
+    def _create(self, kind: str, body: dict) -> tuple[int, object]:
+        name = body["metadata"]["name"]
+        known = self.object_by_key.get(f"{kind}/{name}")
+        if known is not None:
+            return 409, known
+        self.put(kind, name, body["spec"])
+        return 201, self.object_by_key[f"{kind}/{name}"]
+
+    async def _watch(self, kind: str, after: int, wait_ms: int) -> tuple[int, object]:
+        try:
+            async with asyncio.timeout(wait_ms / 1000):
+                while not (events := self._events(kind, after)) and after >= self.history_from - 1:
+                    await self._changed.wait()
+        except TimeoutError:
+            events = []
+        if after < self.history_from - 1:
+            return 410, {"error": "history is gone"}
+        return 200, {"events": events, "storeRevision": self.revision}
+
+    def _events(self, kind: str, after: int) -> list[dict]:
+        events = []
+        for revision, key, removed in self._changes:
+            if revision > after and key.startswith(kind + "/"):
+                name = {"metadata": {"name": key.partition("/")[2], "revision": revision}}
+                events.append({"removed": removed, "object": self.object_by_key.get(key, name)})
+        return events
+
+
+@dataclass
+class Endpoint:
+    """What engines and services have in common: an entry, faults, and a record of requests."""
+
+    store: Store
+    id: str
+    service: str
+    zone: str
+    slots: int = 6
+    kind: str = ""
+    address: str = field(default_factory=free_address)
+    layers: tuple[int, int] | None = None
+    received: list[ServerRequest] = field(default_factory=list)
+    fault: str = ""
+    running: int = 0
+
+    def __post_init__(self) -> None:
+        self._server = Http1Server(self.address, self._handle)
+
+    async def start(self) -> None:
+        """Start listening and register."""
+        await self._server.start()
+        self.register()
+
+    def register(self, state: str = "ready") -> None:
+        """Write the entry."""
+        spec = {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.zone,
+            "slots": self.slots,
+            "state": state,
+            "kind": self.kind,
+            "born": 1,
+        }
+        if self.layers:
+            spec["layers"] = {"from": self.layers[0], "target": self.layers[1], "version": 1}
+        self.store.put("servers", self.id, spec)
+
+    def stop(self) -> None:
+        """Reset every connection and listen no more."""
+        self._server.stop_accepting()
+        self._server.abort()
+
+    def ran(self, attempt_id: str) -> int:
+        """Return how often a request began to run here."""
+        wanted = attempt_id.encode()
+        return sum(r.header(b"x-attempt-id") == wanted for r in self.received)
+
+    async def _handle(self, request: ServerRequest, responder: Responder) -> None:
+        raise NotImplementedError
+
+    def _headers(self, request: ServerRequest) -> list[tuple[bytes, bytes]]:
+        return [
+            (b"X-Attempt-Id", request.header(b"x-attempt-id") or b""),
+            (b"X-Server-Seal", f"seal.{self.id}".encode()),
+            (b"X-Replica-Load", f"{self.running},0,{self.slots}".encode()),
+        ]
+
+
+class Service(Endpoint):
+    """A plain service that answers with its id."""
+
+    async def _handle(self, request: ServerRequest, responder: Responder) -> None:
+        if self.fault == "full":
+            await responder.send(503, [(b"X-Not-Executed", b"1")], b"")
+            return
+        self.received.append(request)
+        if self.fault == "answer lost":
+            raise ConnectionResetError("the answer is lost")
+        if self.fault == "error":
+            await responder.send(500, self._headers(request), b"failed")
+            return
+        if self.fault == "hang":
+            await asyncio.Event().wait()
+        headers = self._headers(request)
+        if self.fault == "crossed":
+            headers[0] = (b"X-Attempt-Id", b"another")
+        await responder.send(200, headers, b"answer of " + self.id.encode())
+
+
+class Engine(Endpoint):
+    """An engine that holds layers, forwards along a path and streams events."""
+
+    peers: dict[str, "Engine"]
+    total_events = 8
+    fence = 0
+    orders = 0
+    stalled: dict[str, str]
+
+    def join(self, engines: list["Engine"]) -> None:
+        """Learn the other engines by address."""
+        self.peers = {engine.address: engine for engine in engines}
+        self.stalled = {}
+
+    async def _handle(self, request: ServerRequest, responder: Responder) -> None:
+        if request.target == b"/api/report":
+            await self._report(responder)
+        elif request.target == b"/api/order":
+            await self._order(request, responder)
+        else:
+            await self._stream(request, responder)
+
+    async def _report(self, responder: Responder) -> None:
+        stalled = [{"id": i, "address": a} for i, a in self.stalled.items()]
+        body = {"seq": self.orders, "running": self.running, "stalled": stalled}
+        await responder.send(200, JSON, msgspec.json.encode(body))
+
+    async def _order(self, request: ServerRequest, responder: Responder) -> None:
+        order = msgspec.json.decode(request.body)
+        if order["fence"] < self.fence:
+            await responder.send(412, JSON, b"{}")
+            return
+        self.fence = order["fence"]
+        self.orders += 1
+        self.layers = (order["from"], order["target"])
+        self.register()
+        await responder.send(202, JSON, b"{}")
+
+    async def _stream(self, request: ServerRequest, responder: Responder) -> None:
+        path = (request.header(b"x-hop-count") or b"").decode()
+        stages = [self.peers[part.partition("=")[0]] for part in path.split(",") if part]
+        attempt_id = (request.header(b"x-attempt-id") or b"").decode()
+        self.received.append(request)
+        first = int(request.header(b"last-event-id") or b"0") + 1
+        await responder.start(200, self._headers(request))
+        self.running += 1
+        try:
+            for number in range(first, self.total_events + 1):
+                await self._wait_for(stages, attempt_id)
+                event = f"id: {number}\ndata: token {number}\n\n".encode()
+                if self.fault == "torn" and number == self.total_events // 2:
+                    await responder.write(event[:7])
+                    raise ConnectionResetError("the engine failed within an event")
+                await responder.write(event)
+            await responder.finish()
+        finally:
+            self.running -= 1
+
+    async def _wait_for(self, stages: list["Engine"], attempt_id: str) -> None:
+        await asyncio.sleep(EVENT_SECONDS)
+        for stage in stages:
+            if stage.fault == "dark":
+                self.stalled[attempt_id] = stage.address
+                await asyncio.sleep(STALL_SECONDS)
+                raise ConnectionResetError("a stage is gone")
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,6 @@
 """Fixtures: whole installations of real processes on loopback."""
 
+import sys
 from collections.abc import Callable, Iterator
 from pathlib import Path
 
@@ -8,6 +9,7 @@
 from ragwortpaddle_standins.fleet import Fleet
 
 ROOT = Path(__file__).parent.parent
+sys.path.insert(0, str(ROOT / "platform"))  # the adapter, as the platform runs it
 OBJECTS = ROOT / "examples" / "workshops.ini"
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 
--- /dev/null
+++ b/tests/relay_fleet.py
@@ -0,0 +1,150 @@
+"""A relay daemon in the test's own event loop, before stand-ins of the users' platform."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+from adapter import PlatformDialect, PlatformStoreDialect
+from ragwortpaddle_standins.users_platform import Engine, Service, Store, free_address
+from ragwortpaddled.relay import RelayDaemon, load_relay_settings
+from ragwortpaddled.transport import Http1Connection, Http1Pool, ResponseHead
+
+HOST = b"desk.example"
+KEY = b"key-of-bench"
+WAIT_SECONDS = 8.0
+LAYERS = 8
+
+
+def configuration(version: int = 1, **changes: object) -> dict:
+    """Return a configuration with a streaming, a safe and an unsafe route."""
+
+    def route(name: str, kind: str, service: str, **more: object) -> dict:
+        return {
+            "name": name,
+            "host": HOST.decode(),
+            "pathPrefix": f"/{name}/",
+            "kind": kind,
+            "timeoutMs": 4000,
+            "targetLatencyMs": 500,
+            "priority": 1,
+            "service": service,
+            "maxAttempts": 2,
+            "public": False,
+            **more,
+        }
+
+    engine = {
+        "slots": 96,
+        "kvTokenBytes": 800000,
+        "layers": LAYERS,
+        "layerMb": 1000.0,
+        "step_ms": 0.85,
+        "per_seq_ms": 0.005,
+        "context_per_k": 0.007,
+        "read_per_s": 272000.0,
+        "usual": {"prompt": 700, "answer": 100},
+        "activationBytes": 40000,
+        "pipeMbps": 6500.0,
+        "kinds": [{"name": "card", "mb": 8000.0, "pace": 3.0, "readX": 3.0}],
+    }
+    return {
+        "version": version,
+        "routes": [
+            route("ask", "streaming", "model", resumable=True, targetGapMs=200, sticky=True),
+            route("once", "streaming", "model", resumable=False, targetGapMs=200),
+            route("look", "safe", "desk"),
+            route("book", "unsafe", "desk"),
+        ],
+        "services": [
+            {"name": "model", "maxConns": 100, "engine": engine},
+            {"name": "desk", "maxConns": 100},
+        ],
+        "limits": {"idleTimeoutMs": 5000},
+        "tenants": [{"name": "bench-team", "apiKeys": [KEY.decode()], "priority": 1}],
+        **changes,
+    }
+
+
+class RelayFleet:
+    """The store, four engines that make two chains, two desks, and one daemon."""
+
+    def __init__(self, directory: Path) -> None:
+        self.directory = directory
+        self.store = Store()
+        self.engines = [
+            Engine(self.store, f"engine-{i}", "model", "dc-a", 96, "card") for i in range(4)
+        ]
+        self.desks = [Service(self.store, f"desk-{i}", "desk", "dc-a") for i in range(2)]
+        self.listen = free_address()
+        self.ready_listen = free_address()
+        self.metrics_listen = free_address()
+        self.daemon: RelayDaemon | None = None
+        self.pool = Http1Pool()
+
+    async def start(self) -> None:
+        """Start everything and wait until model requests can be served."""
+        await self.store.start()
+        self.store.put("config", "main", configuration())
+        for engine in self.engines:
+            engine.join(self.engines)
+        for endpoint in (*self.engines, *self.desks):
+            await endpoint.start()
+        await self.start_daemon()
+        await self.wait(lambda: all(engine.layers for engine in self.engines), "layers")
+
+    async def start_daemon(self) -> None:
+        """Start the daemon."""
+        path = self.directory / "relay.ini"
+        path.write_text(
+            f"[relay]\nname = entry-1\ndata_centre = dc-a\nlisten = {self.listen}\n"
+            f"ready_listen = {self.ready_listen}\npeer_listen = {free_address()}\n"
+            f"metrics_listen = {self.metrics_listen}\n[store]\n"
+            f"url = http://{self.store.address}\n[end]\ngrace_seconds = 4\nbalancer_lag_ms = 300\n"
+        )
+        settings = load_relay_settings(path)
+        self.daemon = RelayDaemon(settings, path, PlatformDialect(), PlatformStoreDialect())
+        await self.daemon.start()
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        self.pool.close()
+        if self.daemon is not None:
+            await self.daemon.end()
+        for endpoint in (*self.engines, *self.desks):
+            endpoint.stop()
+        self.store.stop()
+
+    async def wait(self, condition: Callable[[], bool], what: str) -> None:
+        """Wait for a condition."""
+        deadline = time.monotonic() + WAIT_SECONDS
+        while not condition():
+            assert time.monotonic() < deadline, f"no {what} in {WAIT_SECONDS} s"
+            await asyncio.sleep(0.01)
+
+    async def send(
+        self, method: bytes, path: bytes, attempt: bytes = b"a1", **headers: bytes
+    ) -> Http1Connection:
+        """Send a caller's request on a connection of its own."""
+        connection = await self.pool.take(self.listen, fresh=True)
+        sent = [
+            (b"Host", HOST),
+            (b"X-Attempt-Id", attempt),
+            (b"X-Key", headers.pop("key", KEY)),
+            (b"X-Deadline-Ms", headers.pop("deadline", b"5000")),
+            (b"X-Token-Counts", b"700,100"),
+        ]
+        sent += [(name.replace("_", "-").encode(), value) for name, value in headers.items()]
+        await connection.send(method, path, sent, b"")
+        return connection
+
+    async def ask(
+        self, method: bytes, path: bytes, attempt: bytes = b"a1", **headers: bytes
+    ) -> tuple[ResponseHead, bytes]:
+        """Send a request and return its whole answer."""
+        connection = await self.send(method, path, attempt, **headers)
+        head = await connection.read_head()
+        body = b""
+        while (data := await connection.read_body()) is not None:
+            body += data
+        return head, body
--- /dev/null
+++ b/tests/test_platform_folder.py
@@ -0,0 +1,47 @@
+"""The adapter translates and nothing else, and nobody else speaks the platform's names."""
+
+import ast
+import platform
+import re
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent
+FOLDER = ROOT / "platform"
+PRODUCT = [
+    path
+    for package in ("ragwortpaddled", "ragwortpaddle")
+    for path in (ROOT / "packages" / package / "src").rglob("*.py")
+]
+WIRE_NAMES = re.compile(
+    r"x-(attempt-id|server-seal|hop-count|not-executed|expect-replica|replica-(id|load)|key|tenant"
+    r"|deadline-ms|token-counts|length-hint|request-urgency|model|prompt-prefix|weight-versions)\b"
+    r"|at-server|storeRevision|startAfter|waitMs|coldRemainingMs|kvUsed|kvTotal|pathPrefix"
+    r"|trafficSplit|apiKeys|layerMb|readX|/api/(objects|order|report|readyz)",
+    re.IGNORECASE,
+)
+# What would let a translation keep state, wait or decide over time.
+FORBIDDEN_MODULES = {"asyncio", "logging", "random", "threading", "time", "socket", "aiohttp"}
+
+
+class TestBoundary:
+    @pytest.mark.parametrize("path", PRODUCT, ids=lambda path: path.name)
+    def test_product_names_nothing_of_the_wire(self, path: Path) -> None:
+        assert not WIRE_NAMES.findall(path.read_text())
+
+    @pytest.mark.parametrize("path", sorted(FOLDER.rglob("*.py")), ids=lambda path: path.name)
+    def test_folder_only_translates(self, path: Path) -> None:
+        tree = ast.parse(path.read_text())
+        for node in ast.walk(tree):
+            if isinstance(node, ast.Import):
+                modules = {alias.name.partition(".")[0] for alias in node.names}
+                assert not modules & FORBIDDEN_MODULES
+            if isinstance(node, ast.ImportFrom):
+                assert (node.module or "").partition(".")[0] not in FORBIDDEN_MODULES
+            assert not isinstance(node, ast.AsyncFunctionDef | ast.While | ast.Global)
+            if isinstance(node, ast.FunctionDef):
+                assert node.name != "__init__", "an adapter object would keep state"
+
+    def test_standard_library_is_not_shadowed(self) -> None:
+        assert not str(platform.__file__).startswith(str(ROOT))
