Fewer store calls: renew the lease without a read, learn of its holder from peers, batch entries

Change: as named. Found on the way: a slow pipe between data centres makes requests stall with nobody to blame, and the repeats keep it full for ten seconds after a restart.

--- a/packages/ragwortpaddled/src/ragwortpaddled/_relay_daemon.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/_relay_daemon.py
@@ -63,7 +63,13 @@
         retry = settings.retry
         budget = SendBudget(BudgetBounds(retry.ratio, retry.slack, retry.window_seconds))
         self._peers = RelayPeers(
-            self._fleet, platform, budget, section.name, section.peer_listen, randomness
+            self._fleet,
+            platform,
+            budget,
+            self._placer,
+            section.name,
+            section.peer_listen,
+            randomness,
         )
         relay = Relay(
             self._fleet,
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_lease.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_lease.py
@@ -41,6 +41,8 @@
         self._valid_until = 0.0
         self._seen_version = -1
         self._seen_at = 0.0
+        self._beat = 0
+        self._renewed = False
 
     def remaining(self) -> float:
         """Return the seconds for which the lease is surely held, by the own clock."""
@@ -66,6 +68,11 @@
 
     async def _keep(self) -> bool:
         sent_at = time.monotonic()
+        if self.remaining() > 0 and self._renewed:
+            # The version that the own write left names the object without another read.
+            self._beat += 1
+            renewed = LeaseValue(self._holder, self.fencing, self._beat)
+            return await self._hold(renewed, self._seen_version, sent_at)
         stored = await self._platform.get(self._key, PURPOSE)
         if stored is None:
             return await self._take(LeaseValue("", 0, 0), 0, sent_at)
@@ -73,9 +80,11 @@
         if stored.version != self._seen_version:
             # Counted from after the read: the lease may have been renewed while it was under way.
             self._seen_version, self._seen_at = stored.version, time.monotonic()
+        self._beat = value.beat
         own = value.holder == self._holder and value.fencing == self.fencing
         if own and self.remaining() > 0:
-            renewed = LeaseValue(self._holder, self.fencing, value.beat + 1)
+            self._beat += 1
+            renewed = LeaseValue(self._holder, self.fencing, self._beat)
             return await self._hold(renewed, stored.version, sent_at)
         if value.holder and sent_at - self._seen_at < DURATION_SECONDS:
             return False
@@ -83,6 +92,7 @@
 
     async def _take(self, previous: LeaseValue, version: int, sent_at: float) -> bool:
         self._valid_until = 0.0
+        self._beat = 0
         taken = LeaseValue(self._holder, previous.fencing + 1, 0)
         if not await self._hold(taken, version, sent_at):
             return False
@@ -91,11 +101,13 @@
         return True
 
     async def _hold(self, value: LeaseValue, version: int, sent_at: float) -> bool:
+        self._renewed = False
         try:
             self._seen_version = await self._write(value, version)
         except (VersionConflictError, WriteOutcomeUnknownError):
             # Whether the write took effect shows when the lease is read the next time.
             return self.remaining() > 0
+        self._renewed = True
         self._seen_at = sent_at
         self._valid_until = sent_at + DURATION_SECONDS
         return True
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_object_follower.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_object_follower.py
@@ -27,6 +27,8 @@
         prefix: str,
         on_change: Callable[[str, StoredObject | None], None],
         random_source: random.Random,
+        *,
+        batch_seconds: float = 0.0,
     ) -> None:
         self.object_by_key: dict[str, StoredObject] = {}
         self.revision = 0
@@ -36,6 +38,7 @@
         self._prefix = prefix
         self._on_change = on_change
         self._random = random_source
+        self._batch_seconds = batch_seconds
         self._lost_at: float | None = None
         self._grace_until = 0.0
         self._removal_by_key: dict[str, asyncio.TimerHandle] = {}
@@ -60,6 +63,9 @@
                 self._note_answer()
                 self._take_changes(changes)
                 pause = RETRY_MIN_SECONDS
+                if changes.objects or changes.removed:
+                    # Each call is priced, and entries change in flocks.
+                    await asyncio.sleep(self._batch_seconds)
             except HistoryLostError:
                 logger.info("history lost", extra={"fields": {"prefix": self._prefix}})
                 must_list = True
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_placer.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_placer.py
@@ -25,6 +25,7 @@
 
 LEASE_SECONDS = 0.8  # a quarter of the lease's duration
 STANDBY_SECONDS = 1.6  # reads of daemons that do not hold the lease
+HOLDER_SECONDS = 2.0  # of silence after which a peer's word on the lease is too old
 SETTLE_SECONDS = 0.6  # endpoints register within a second of each other at a start
 REPEAT_SECONDS = 2.0  # an accepted order shows in the endpoint's entry within a heartbeat
 ORDER_TIMEOUT_SECONDS = 1.0
@@ -67,14 +68,25 @@
         self._ordered_by_id: dict[str, tuple[LayerRange, float]] = {}
         self._orders: set[asyncio.Task[None]] = set()
         self._fencing = 0
+        self._holder_heard_at = -HOLDER_SECONDS
         fleet.on_change(self._note_change)
 
+    @property
+    def holds_lease(self) -> bool:
+        """Tell whether this daemon places layers now."""
+        return self._lease.remaining() > 0
+
+    def note_holder(self) -> None:
+        """Take in that a peer holds the lease, so that the store need not be asked."""
+        self._holder_heard_at = time.monotonic()
+
     async def run(self) -> None:
         """Hold the lease and place layers for the life of the daemon."""
         renew_at = 0.0
         while True:
             now = time.monotonic()
-            if now >= renew_at and self._pools():
+            held_elsewhere = now - self._holder_heard_at < HOLDER_SECONDS
+            if now >= renew_at and self._pools() and (self.holds_lease or not held_elsewhere):
                 held = await self._lease.keep()
                 renew_at = now + (LEASE_SECONDS if held else STANDBY_SECONDS)
                 if held and self._fencing != self._lease.fencing:
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_fleet.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_fleet.py
@@ -17,6 +17,9 @@
 )
 from ragwortpaddled.state import EndpointLoads, RouteTable
 
+# A tenth of the time within which a leaving endpoint must get nothing new.
+ENDPOINT_BATCH_SECONDS = 0.2
+
 logger = logging.getLogger(__name__)
 
 
@@ -38,7 +41,11 @@
             platform, config_prefix, self._take_config, random_source
         )
         self._endpoint_follower = ObjectFollower(
-            platform, dialect.endpoints_prefix, self._take_endpoint, random_source
+            platform,
+            dialect.endpoints_prefix,
+            self._take_endpoint,
+            random_source,
+            batch_seconds=ENDPOINT_BATCH_SECONDS,
         )
 
     def on_change(self, listener: Callable[[], None]) -> None:
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_peers.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_peers.py
@@ -13,6 +13,7 @@
 
 from ragwortpaddled.coordination._object_follower import ObjectFollower
 from ragwortpaddled.coordination._peer_links import PeerLinks
+from ragwortpaddled.coordination._placer import Placer
 from ragwortpaddled.coordination._relay_fleet import RelayFleet
 from ragwortpaddled.errors import (
     PeerRefusedError,
@@ -40,6 +41,7 @@
 FANOUT = 2
 EXCHANGE_TIMEOUT_SECONDS = 0.5
 RETRY_SECONDS = 1.0
+DAEMON_BATCH_SECONDS = 1.0  # a daemon that joins finds the others itself
 
 logger = logging.getLogger(__name__)
 
@@ -52,6 +54,7 @@
         fleet: RelayFleet,
         platform: Platform,
         budget: SendBudget,
+        placer: Placer,
         name: str,
         listen: str,
         random_source: random.Random,
@@ -59,6 +62,7 @@
         self._fleet = fleet
         self._platform = platform
         self._budget = budget
+        self._placer = placer
         self._name = name
         self._listen = listen
         self._random = random_source
@@ -68,7 +72,13 @@
         self._address_by_name: dict[str, str] = {}
         self._failing: set[str] = set()
         self._version = ABSENT
-        self._follower = ObjectFollower(platform, DAEMONS_PREFIX, self._take_daemon, random_source)
+        self._follower = ObjectFollower(
+            platform,
+            DAEMONS_PREFIX,
+            self._take_daemon,
+            random_source,
+            batch_seconds=DAEMON_BATCH_SECONDS,
+        )
         self._exchanges: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
@@ -167,21 +177,29 @@
             logger.info("peer regained", extra={"fields": {"peer": name}})
         if not isinstance(reply, RelayNewsReply):
             return
-        self._fleet.loads.take_peer(name, reply.news.running)
+        self._take_news(reply.news)
         if reply.config:
             self._fleet.adopt(reply.config)
 
+    def _take_news(self, news: RelayNews) -> None:
+        self._fleet.loads.take_peer(news.name, news.running)
+        if news.places_layers:
+            self._placer.note_holder()
+
     def _news(self) -> RelayNews:
         config = self._fleet.config
         return RelayNews(
-            self._name, config.version if config else 0, self._fleet.loads.own_running()
+            self._name,
+            config.version if config else 0,
+            self._fleet.loads.own_running(),
+            self._placer.holds_lease,
         )
 
     async def _handle(self, body: bytes) -> bytes:
         news = decode_message(body)
         if not isinstance(news, RelayNews):
             raise PeerRefusedError(f"not news: {type(news).__name__}")
-        self._fleet.loads.take_peer(news.name, news.running)
+        self._take_news(news)
         own = self._news()
         config = self._fleet.config_value if own.config_version > news.config_version else ""
         return encode_message(RelayNewsReply(own, config))
--- a/packages/ragwortpaddled/src/ragwortpaddled/protocol/_peers.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/_peers.py
@@ -70,6 +70,7 @@
     name: str
     config_version: int
     running: dict[str, int]
+    places_layers: bool = False
 
 
 class RelayNewsReply(msgspec.Struct, frozen=True, tag="relay_news_reply"):
