Stalls: links that fill up are avoided, no repeat on a full fleet, engines lost by two daemons' word

Ruled out: a dead stage (the reports blamed none), memory (1 request preempted). Change: what requests put on a link is counted over all daemons and bounded, a link over which requests stalled rests, a stall without a culprit is only repeated where another path has room; an engine that two daemons blame is replaced before its entry lapses.

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_dispatcher.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_dispatcher.py
@@ -16,7 +16,14 @@
 from ragwortpaddled.coordination._relay_fleet import RelayFleet
 from ragwortpaddled.errors import RefusedError
 from ragwortpaddled.protocol import EndpointEntry, Hop, RelayPool
-from ragwortpaddled.state import EndpointLoads, PathDemand, choose_path
+from ragwortpaddled.state import (
+    EndpointLoads,
+    Link,
+    PathChoice,
+    PathDemand,
+    choose_path,
+    crossing_bits,
+)
 
 WAKE_SECONDS = 0.05  # others' load fades without an event of our own
 REMOTE_COST = 0.2  # of a place: a caller's bytes across data centres are priced
@@ -47,6 +54,7 @@
     path: tuple[Hop, ...]
     tokens: float
     loads: EndpointLoads
+    links: tuple[Link, ...] = ()
     waited_seconds: float = 0.0
     _held: bool = field(default=False)
 
@@ -106,6 +114,10 @@
             await asyncio.sleep(WAKE_SECONDS)
             self.wake()
 
+    def take_at_once(self, work: Work) -> Target | None:
+        """Return a target with a place held, None if there is none now."""
+        return None if self.waiting(work.pool.name) else self._try(work)
+
     async def take(self, work: Work) -> Target:
         """Return a target with a place held, waiting for one in order of priority.
 
@@ -113,10 +125,9 @@
         """
         began = time.monotonic()
         waiters = self._waiters_by_pool[work.pool.name]
-        if not waiters:
-            target = self._try(work)
-            if target is not None:
-                return target
+        at_once = self.take_at_once(work)
+        if at_once is not None:
+            return at_once
         waiter = _Waiter(
             work.priority, next(self._numbers), work, asyncio.get_running_loop().create_future()
         )
@@ -140,6 +151,24 @@
         target.release()
         self.wake()
 
+    def has_other_path(self, work: Work, target: Target) -> bool:
+        """Tell whether a request would get another path than the one it has."""
+        if work.pool.model is None or self.waiting(work.pool.name):
+            return False
+        hops = self._choose_path(work).hops
+        return bool(hops) and hops != target.path
+
+    def congest(self, link: Link) -> float:
+        """Avoid a link over which a request stalled; return the seconds."""
+        return self._fleet.links.congest(link)
+
+    def note_success(self, target: Target) -> None:
+        """Forget earlier failures of what served a request."""
+        for endpoint_id in target.ids:
+            self._fleet.loads.succeed(endpoint_id)
+        for link in target.links:
+            self._fleet.links.pass_on(link)
+
     def wake(self) -> None:
         """Give free places to what waits, the most urgent first."""
         for waiters in self._waiters_by_pool.values():
@@ -161,18 +190,25 @@
 
     def _try_path(self, work: Work) -> Target | None:
         assert work.pool.model is not None
-        choice = choose_path(
+        choice = self._choose_path(work)
+        if not choice.hops:
+            return None
+        entry = self._fleet.entry_by_id[choice.hops[0].endpoint_id]
+        for link in choice.links:
+            self._fleet.links.note(link, crossing_bits(work.pool.model, work.demand))
+        return Target(entry, choice.hops, work.demand.tokens, self._fleet.loads, links=choice.links)
+
+    def _choose_path(self, work: Work) -> PathChoice:
+        assert work.pool.model is not None
+        return choose_path(
             work.pool.model,
             self._fleet.in_pool(work.pool.name),
             self._fleet.loads,
+            self._fleet.links,
             work.demand,
             avoided=work.avoided,
             start_data_centre=self._data_centre,
         )
-        if not choice.hops:
-            return None
-        entry = self._fleet.entry_by_id[choice.hops[0].endpoint_id]
-        return Target(entry, choice.hops, work.demand.tokens, self._fleet.loads)
 
     def _try_endpoint(self, work: Work) -> Target | None:
         now = time.monotonic()
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_placer.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_placer.py
@@ -130,7 +130,11 @@
             plan = self._plans.get(pool)
             if plan is None:
                 plan = self._plans[pool] = _Plan(0, [])
-            entries = {e.id: e for e in self._fleet.in_pool(pool) if not e.leaving}
+            entries = {
+                e.id: e
+                for e in self._fleet.in_pool(pool)
+                if not e.leaving and not self._fleet.loads.of(e.id).lost(time.monotonic())
+            }
             await self._update_plan(pool, model, plan, entries)
             self._order(plan, entries)
 
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay.py
@@ -4,6 +4,8 @@
 import logging
 import random
 import time
+from collections.abc import Coroutine
+from typing import Any, TypeVar
 from urllib.parse import urlsplit
 
 from ragwortpaddled import telemetry
@@ -18,6 +20,7 @@
     NotRunError,
     RefusedError,
     ReplyLostError,
+    StalledError,
 )
 from ragwortpaddled.protocol import (
     Dialect,
@@ -39,6 +42,8 @@
 MAX_SENDS = 4
 UNCONFIGURED_RETRY_SECONDS = 0.5
 
+T = TypeVar("T")
+
 logger = logging.getLogger(__name__)
 
 
@@ -221,20 +226,19 @@
             resume=self._splitter.last_id,
         )
         streams = self._route.repeat is Repeat.STREAM
-        try:
-            async with asyncio.timeout(FIRST_EVENT_SECONDS if streams else None):
-                answer = await self._exchanger.send(
-                    self._request,
-                    self._facts,
-                    target,
-                    self._route,
-                    deadline=self.deadline,
-                    team=self.team.name if self.team else "",
-                    last_event_id=self._splitter.last_id,
-                )
-        except TimeoutError as error:
-            culprit = await self._faults.culprit(target, self._facts.attempt_id)
-            raise MaybeRunError(culprit or "", "no answer began in time") from error
+        sending = self._exchanger.send(
+            self._request,
+            self._facts,
+            target,
+            self._route,
+            deadline=self.deadline,
+            team=self.team.name if self.team else "",
+            last_event_id=self._splitter.last_id,
+        )
+        if streams:
+            answer = await self._unless_stalled(sending, FIRST_EVENT_SECONDS, target)
+        else:
+            answer = await sending
         try:
             if streams and answer.status < 300:
                 await self._relay_stream(answer, target)
@@ -244,32 +248,24 @@
             raise MaybeRunError(target.endpoint.id, str(error)) from error
         finally:
             answer.close()
-        self._dispatcher_loads_succeed(target)
-
-    def _dispatcher_loads_succeed(self, target: Target) -> None:
-        for endpoint_id in target.ids:
-            target.loads.succeed(endpoint_id)
+        self._dispatcher.note_success(target)
 
     async def _relay_whole(self, answer: Answer, target: Target) -> None:
         body = await answer.read_all()
-        if answer.status >= 500 and self._route.repeatable and self._runs + 1 < self._attempts():
+        if (
+            answer.status >= 500
+            and self._route.repeatable
+            and self._runs + 1 < self._route.max_attempts
+        ):
             raise MaybeRunError(target.endpoint.id, f"status {answer.status}")
         if self._responder.started:
             raise MaybeRunError(target.endpoint.id, f"status {answer.status} instead of a stream")
         await self._responder.send(answer.status, answer.headers, body)
         _note(self._facts, "answered", status=answer.status, began=self.began)
 
-    def _attempts(self) -> int:
-        return self._route.max_attempts
-
     async def _relay_stream(self, answer: Answer, target: Target) -> None:
         while True:
-            try:
-                async with asyncio.timeout(STALL_SECONDS if self._responder.started else None):
-                    data = await answer.read()
-            except TimeoutError as error:
-                culprit = await self._faults.culprit(target, self._facts.attempt_id)
-                raise MaybeRunError(culprit or "", "the stream stalled") from error
+            data = await self._unless_stalled(answer.read(), STALL_SECONDS, target)
             if data is None:
                 break
             events = self._splitter.feed(data)
@@ -283,6 +279,38 @@
         await self._responder.finish()
         _note(self._facts, "answered", status=answer.status, began=self.began)
 
+    async def _unless_stalled(
+        self, step: Coroutine[Any, Any, T], seconds: float, target: Target
+    ) -> T:
+        """Wait for a step of an attempt.
+
+        A stall that no engine is to blame for means that a link or the fleet is busy. Then another
+        path is tried only if it has room; a repeat on a full fleet would only add to the load.
+
+        :raises StalledError: another path is better than waiting
+        """
+        task = asyncio.create_task(step)
+        try:
+            while not (await asyncio.wait([task], timeout=seconds))[0]:
+                culprit = await self._faults.culprit(target, self._facts.attempt_id)
+                if task.done():
+                    break
+                self._congest(target, culprit)
+                if culprit or self._dispatcher.has_other_path(self._work(), target):
+                    raise StalledError(culprit or "", f"no progress for {seconds} s")
+            return task.result()
+        finally:
+            if not task.done():
+                task.cancel()
+                await asyncio.wait([task])
+
+    def _congest(self, target: Target, culprit: str | None) -> None:
+        if culprit:
+            return
+        for link in target.links:
+            seconds = self._dispatcher.congest(link)
+            _note(self._facts, "link congested", link=sorted(link), avoided_ms=int(seconds * 1000))
+
     def _note_failure(self, error: EndpointError, target: Target) -> None:
         self._splitter.drop_partial()
         seconds = 0.0
@@ -290,7 +318,8 @@
             seconds = target.loads.turn_away(error.endpoint)
         elif error.endpoint:
             self._avoided.add(error.endpoint)
-            seconds = target.loads.fail(error.endpoint)
+            blamed = isinstance(error, StalledError | NotRunError) and bool(target.path)
+            seconds = target.loads.fail(error.endpoint, blamed=blamed)
         _note(
             self._facts,
             "attempt failed",
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_fleet.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_fleet.py
@@ -15,7 +15,7 @@
     RelayConfig,
     StoredObject,
 )
-from ragwortpaddled.state import EndpointLoads, RouteTable
+from ragwortpaddled.state import EndpointLoads, LinkLoads, RouteTable
 
 # A tenth of the time within which a leaving endpoint must get nothing new.
 ENDPOINT_BATCH_SECONDS = 0.2
@@ -32,6 +32,7 @@
         self.adopted_at = 0.0
         self.routes = RouteTable(())
         self.loads = EndpointLoads()
+        self.links = LinkLoads()
         self.entry_by_id: dict[str, EndpointEntry] = {}
         self._ids_by_pool: defaultdict[str, set[str]] = defaultdict(set)
         self._dialect = dialect
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_peers.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_peers.py
@@ -149,7 +149,7 @@
             return
         if stored is None:
             self._address_by_name.pop(name, None)
-            self._fleet.loads.forget_peer(name)
+            self._forget(name)
         else:
             value = msgspec.json.decode(stored.value, type=dict[str, str])
             self._address_by_name[name] = value.get("address", "")
@@ -168,7 +168,7 @@
         except TransportError as error:
             if name not in self._failing:
                 self._failing.add(name)
-                self._fleet.loads.forget_peer(name)
+                self._forget(name)
                 fields = {"peer": name, "reason": str(error)}
                 logger.warning("peer lost", extra={"fields": fields})
             return
@@ -181,8 +181,15 @@
         if reply.config:
             self._fleet.adopt(reply.config)
 
+    def _forget(self, name: str) -> None:
+        self._fleet.loads.forget_peer(name)
+        self._fleet.links.take_peer(name, {})
+
     def _take_news(self, news: RelayNews) -> None:
-        self._fleet.loads.take_peer(news.name, news.running)
+        self._fleet.loads.take_peer(news.name, news.running, news.suspects)
+        self._fleet.links.take_peer(
+            news.name, {frozenset(link): bits for link, bits in news.link_bits}
+        )
         if news.places_layers:
             self._placer.note_holder()
 
@@ -193,6 +200,8 @@
             config.version if config else 0,
             self._fleet.loads.own_running(),
             self._placer.holds_lease,
+            self._fleet.loads.own_suspects(),
+            [(sorted(link), bits) for link, bits in self._fleet.links.own_bits().items()],
         )
 
     async def _handle(self, body: bytes) -> bytes:
--- a/packages/ragwortpaddled/src/ragwortpaddled/errors.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/errors.py
@@ -103,6 +103,10 @@
     """An endpoint may have run a request, but gave no usable answer."""
 
 
+class StalledError(MaybeRunError):
+    """A request made no progress; the endpoint is the one to blame, or empty if none is."""
+
+
 class RefusedError(RagwortpaddleError):
     """A request is refused before any endpoint ran it."""
 
--- a/packages/ragwortpaddled/src/ragwortpaddled/protocol/_peers.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/_peers.py
@@ -71,6 +71,8 @@
     config_version: int
     running: dict[str, int]
     places_layers: bool = False
+    suspects: list[str] = []
+    link_bits: list[tuple[list[str], float]] = []
 
 
 class RelayNewsReply(msgspec.Struct, frozen=True, tag="relay_news_reply"):
--- a/packages/ragwortpaddled/src/ragwortpaddled/state/__init__.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/__init__.py
@@ -6,7 +6,8 @@
 from ragwortpaddled.state._endpoints import Circuit, CircuitState, Endpoint, EndpointTable
 from ragwortpaddled.state._event_split import EventSplitter
 from ragwortpaddled.state._gossip_table import GossipTable
-from ragwortpaddled.state._layer_paths import PathChoice, PathDemand, choose_path
+from ragwortpaddled.state._layer_paths import PathChoice, PathDemand, choose_path, crossing_bits
+from ragwortpaddled.state._link_loads import Link, LinkLoads
 from ragwortpaddled.state._objects import (
     TYPE_BY_KIND,
     Limit,
@@ -64,14 +65,6 @@
 from ragwortpaddled.state._shares import Claim, divide, own_part
 
 __all__ = [
-    "HISTORY_PREFIX",
-    "MAX_KEY_BYTES",
-    "MAX_RECORDED_BODY_BYTES",
-    "OBJECTS_PREFIX",
-    "RELEASE_KEY",
-    "SEAL_BYTES",
-    "SETTLE_SECONDS",
-    "TYPE_BY_KIND",
     "BudgetBounds",
     "Chain",
     "Circuit",
@@ -85,7 +78,13 @@
     "Engine",
     "EventSplitter",
     "GossipTable",
+    "HISTORY_PREFIX",
     "Limit",
+    "Link",
+    "LinkLoads",
+    "MAX_KEY_BYTES",
+    "MAX_RECORDED_BODY_BYTES",
+    "OBJECTS_PREFIX",
     "ObjectEdit",
     "OperatorObject",
     "PathChoice",
@@ -93,19 +92,24 @@
     "Pool",
     "Priority",
     "Problem",
+    "RELEASE_KEY",
     "Release",
     "Route",
     "RouteTable",
+    "SEAL_BYTES",
+    "SETTLE_SECONDS",
     "SendBudget",
     "Shard",
     "ShardDraft",
     "ShardHead",
     "Stage",
+    "TYPE_BY_KIND",
     "Team",
     "check_objects",
     "choose",
     "choose_path",
     "collect",
+    "crossing_bits",
     "decode_object",
     "decode_release",
     "differing_fields",
--- a/packages/ragwortpaddled/src/ragwortpaddled/state/_endpoint_loads.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/_endpoint_loads.py
@@ -10,7 +10,11 @@
 
 FULL_SECONDS = 0.15  # an engine that was full has room again after some steps
 SUSPECT_SECONDS = 1.0  # first exclusion; a crashed endpoint is back after some seconds
+# An engine that another blames, or that refuses after waiting, lost what it held. Its entry lapses
+# after three heartbeats of about a second.
+BLAMED_SECONDS = 4.0
 MAX_SUSPECT_SECONDS = 4.0
+SUSPECTING_PEERS = 2  # one daemon alone may have lost its own path to an endpoint
 STATED_SECONDS = 2.0  # a stated load says little after the usual length of a generation
 
 
@@ -25,6 +29,8 @@
     stated_at: float = 0.0
     suspect_until: float = 0.0
     failures: int = 0
+    blamed: bool = False
+    suspecting_peers: int = 0
 
     def others(self, now: float) -> float:
         """Return the requests of other daemons: what peers say, or what was stated of late."""
@@ -38,7 +44,12 @@
 
     def suspect(self, now: float) -> bool:
         """Tell whether recent failures speak against the endpoint."""
-        return now < self.suspect_until
+        return now < self.suspect_until or self.suspecting_peers >= SUSPECTING_PEERS
+
+    def lost(self, now: float) -> bool:
+        """Tell whether several daemons agree that an engine is gone."""
+        own = 1 if self.blamed and now < self.suspect_until else 0
+        return own + self.suspecting_peers >= SUSPECTING_PEERS
 
 
 class EndpointLoads:
@@ -47,13 +58,24 @@
     def __init__(self) -> None:
         self.by_id: dict[str, EndpointLoad] = {}
         self._running_by_peer: dict[str, dict[str, int]] = {}
+        self._suspects_by_peer: dict[str, list[str]] = {}
 
     def own_running(self) -> dict[str, int]:
         """Return the own running requests by endpoint."""
         return {endpoint_id: load.own for endpoint_id, load in self.by_id.items() if load.own}
 
-    def take_peer(self, name: str, running: dict[str, int]) -> None:
-        """Take in the running requests of another daemon."""
+    def own_suspects(self) -> list[str]:
+        """Return the engines that this daemon has evidence against."""
+        now = time.monotonic()
+        return [i for i, load in self.by_id.items() if load.blamed and now < load.suspect_until]
+
+    def take_peer(self, name: str, running: dict[str, int], suspects: list[str]) -> None:
+        """Take in the running requests and the suspicions of another daemon."""
+        for endpoint_id in self._suspects_by_peer.get(name, ()):
+            self.of(endpoint_id).suspecting_peers -= 1
+        for endpoint_id in suspects:
+            self.of(endpoint_id).suspecting_peers += 1
+        self._suspects_by_peer[name] = suspects
         for endpoint_id, count in self._running_by_peer.get(name, {}).items():
             self.of(endpoint_id).peers -= count
         for endpoint_id, count in running.items():
@@ -62,8 +84,8 @@
 
     def forget_peer(self, name: str) -> None:
         """Drop what another daemon said, since it cannot be reached."""
-        self.take_peer(name, {})
-        del self._running_by_peer[name]
+        self.take_peer(name, {}, [])
+        del self._running_by_peer[name], self._suspects_by_peer[name]
 
     def of(self, endpoint_id: str) -> EndpointLoad:
         """Return the load of an endpoint, which may not have been used yet."""
@@ -90,10 +112,14 @@
         load.stated_others = max(0, running - load.own)
         load.stated_at = time.monotonic()
 
-    def fail(self, endpoint_id: str) -> float:
+    def fail(self, endpoint_id: str, *, blamed: bool = False) -> float:
         """Avoid an endpoint for a while, longer each time; return the seconds."""
         load = self.of(endpoint_id)
         load.failures += 1
+        load.blamed = load.blamed or blamed
+        if blamed:
+            load.suspect_until = time.monotonic() + BLAMED_SECONDS
+            return BLAMED_SECONDS
         seconds = min(MAX_SUSPECT_SECONDS, SUSPECT_SECONDS * 2 ** (load.failures - 1))
         load.suspect_until = time.monotonic() + seconds
         return seconds
@@ -109,11 +135,12 @@
         load = self.of(endpoint_id)
         had_failed = load.failures > 0
         load.failures = 0
+        load.blamed = False
         load.suspect_until = 0.0
         return had_failed
 
     def forget(self, known_ids: set[str]) -> None:
         """Drop idle endpoints that are no longer listed."""
         for endpoint_id, load in list(self.by_id.items()):
-            if endpoint_id not in known_ids and load.own == 0 and load.peers == 0:
+            if endpoint_id not in known_ids and not (load.own or load.peers):
                 del self.by_id[endpoint_id]
--- a/packages/ragwortpaddled/src/ragwortpaddled/state/_layer_paths.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/_layer_paths.py
@@ -11,9 +11,11 @@
 
 from ragwortpaddled.protocol import EndpointEntry, Hop, LayeredModel, LayerRange
 from ragwortpaddled.state._endpoint_loads import EndpointLoad, EndpointLoads
+from ragwortpaddled.state._link_loads import Link, LinkLoads
 from ragwortpaddled.state._placement import token_capacity
 
 MEMORY_SHARE = 0.92  # of an engine's tokens; answers often run longer than their hint
+MAX_BUSY = 0.9  # of a link, to keep its cost finite
 MAX_HOPS = 32  # the engines refuse longer paths
 
 
@@ -35,6 +37,7 @@
     """The best path, or why there is none."""
 
     hops: tuple[Hop, ...] = ()
+    links: tuple[Link, ...] = ()
     cost_ms: float = 0.0
     covered: bool = False
     considered: int = 0
@@ -44,6 +47,7 @@
     model: LayeredModel,
     endpoints: Iterable[EndpointEntry],
     loads: EndpointLoads,
+    links: LinkLoads,
     demand: PathDemand,
     *,
     avoided: frozenset[str] = frozenset(),
@@ -57,10 +61,11 @@
     holding = [e for e in endpoints if e.layers is not None and not e.leaving]
     usable = [e for e in holding if e.id not in avoided and not loads.of(e.id).suspect(now)]
     roomy = [e for e in usable if _has_room(model, e, loads.of(e.id), demand, now)]
-    choice = _cheapest(model, roomy, loads, demand, start_data_centre, now)
+    search = _Search(model, loads, links, demand, start_data_centre, now)
+    choice = search.cheapest(roomy)
     if choice.hops:
         return choice
-    whole = _cheapest(model, usable, loads, demand, start_data_centre, now)
+    whole = search.cheapest(usable, full_links=True)
     return PathChoice(covered=bool(whole.hops), considered=len(usable))
 
 
@@ -92,39 +97,79 @@
     before: "_Arrival | None" = None
 
 
-def _cheapest(
-    model: LayeredModel,
-    endpoints: list[EndpointEntry],
-    loads: EndpointLoads,
-    demand: PathDemand,
-    start_data_centre: str,
-    now: float,
-) -> PathChoice:
-    arrival_by_point = {0: _Arrival(0.0, start_data_centre)}
-    points = sorted({0, *(e.layers.end for e in endpoints if e.layers)})
-    cost_by_id = {e.id: _layer_cost_ms(model, e, loads.of(e.id), demand, now) for e in endpoints}
-    for point in points:
-        arrival = arrival_by_point.get(point)
-        if arrival is None:
-            continue
-        for endpoint in endpoints:
-            held = endpoint.layers
-            if held is None or not held.first <= point < held.end:
+@dataclass(frozen=True, slots=True)
+class _Search:
+    """The search for a path for one request."""
+
+    model: LayeredModel
+    loads: EndpointLoads
+    links: LinkLoads
+    demand: PathDemand
+    start_data_centre: str
+    now: float
+
+    def cheapest(self, endpoints: list[EndpointEntry], *, full_links: bool = False) -> PathChoice:
+        """Return the cheapest path over endpoints, over full links too if asked."""
+        arrival_by_point = {0: _Arrival(0.0, self.start_data_centre)}
+        points = sorted({0, *(e.layers.end for e in endpoints if e.layers)})
+        cost_by_id = {e.id: self._layer_cost_ms(e) for e in endpoints}
+        for point in points:
+            arrival = arrival_by_point.get(point)
+            if arrival is None:
                 continue
-            layers = LayerRange(point, held.end)
-            cost = arrival.cost_ms + cost_by_id[endpoint.id] * len(layers)
-            if endpoint.data_centre != arrival.data_centre:
-                cost += _crossing_ms(model, demand, first=point == 0)
-            known = arrival_by_point.get(held.end)
-            if known is None or cost < known.cost_ms:
-                arrival_by_point[held.end] = _Arrival(
-                    cost, endpoint.data_centre, endpoint, layers, arrival
-                )
-    last = arrival_by_point.get(model.layers)
-    hops = _hops(last)
-    if last is None or len(hops) > MAX_HOPS or len({h.endpoint_id for h in hops}) < len(hops):
-        return PathChoice(considered=len(endpoints))
-    return PathChoice(hops, last.cost_ms, True, len(endpoints))
+            for endpoint in endpoints:
+                held = endpoint.layers
+                if held is None or not held.first <= point < held.end:
+                    continue
+                crossing = self._crossing_ms(arrival, endpoint, full_links=full_links)
+                if crossing is None:
+                    continue
+                layers = LayerRange(point, held.end)
+                cost = arrival.cost_ms + crossing + cost_by_id[endpoint.id] * len(layers)
+                known = arrival_by_point.get(held.end)
+                if known is None or cost < known.cost_ms:
+                    arrival_by_point[held.end] = _Arrival(
+                        cost, endpoint.data_centre, endpoint, layers, arrival
+                    )
+        last = arrival_by_point.get(self.model.layers)
+        hops = _hops(last)
+        if last is None or len(hops) > MAX_HOPS or len({h.endpoint_id for h in hops}) < len(hops):
+            return PathChoice(considered=len(endpoints))
+        return PathChoice(hops, _links(last), last.cost_ms, True, len(endpoints))
+
+    def _crossing_ms(
+        self, arrival: _Arrival, endpoint: EndpointEntry, *, full_links: bool
+    ) -> float | None:
+        """Return the time on the link to an endpoint, None where the link is full.
+
+        A caller's own hop to the first engine carries only text.
+        """
+        mbps = self.model.cross_link_mbps
+        if arrival.endpoint is None or arrival.data_centre == endpoint.data_centre or mbps <= 0:
+            return 0.0
+        link = frozenset((arrival.data_centre, endpoint.data_centre))
+        if not full_links and not self.links.has_room(link, mbps):
+            return None
+        busy = min(self.links.busy_share(link, mbps), MAX_BUSY)
+        return crossing_bits(self.model, self.demand) / (mbps * 1000) / (1 - busy)
+
+    def _layer_cost_ms(self, endpoint: EndpointEntry) -> float:
+        """Return the time for one layer of the whole request, beside what runs already."""
+        model, demand = self.model, self.demand
+        kind = model.kind_by_name.get(endpoint.kind)
+        if kind is None:
+            return float("inf")
+        context_k = (demand.prompt_tokens + demand.answer_tokens / 2) / 1000
+        per_sequence_ms = model.sequence_step_ms + model.context_step_ms * context_k
+        sequences = self.loads.of(endpoint.id).running(self.now) + 1
+        step_ms = kind.step_factor * (model.step_ms + per_sequence_ms * sequences)
+        read_ms = demand.prompt_tokens * kind.read_factor / model.read_tokens_per_ms
+        return (read_ms + demand.answer_tokens * step_ms) / model.layers
+
+
+def crossing_bits(model: LayeredModel, demand: PathDemand) -> float:
+    """Return what a request sends over a link between two stages."""
+    return demand.tokens * model.activation_bytes * 8
 
 
 def _hops(arrival: _Arrival | None) -> tuple[Hop, ...]:
@@ -135,28 +180,11 @@
     return tuple(reversed(hops))
 
 
-def _layer_cost_ms(
-    model: LayeredModel,
-    endpoint: EndpointEntry,
-    load: EndpointLoad,
-    demand: PathDemand,
-    now: float,
-) -> float:
-    """Return the time for one layer of the whole request, beside what runs already."""
-    kind = model.kind_by_name.get(endpoint.kind)
-    if kind is None:
-        return float("inf")
-    context_k = (demand.prompt_tokens + demand.answer_tokens / 2) / 1000
-    per_sequence_ms = model.sequence_step_ms + model.context_step_ms * context_k
-    sequences = load.running(now) + 1
-    step_ms = kind.step_factor * (model.step_ms + per_sequence_ms * sequences)
-    read_ms = demand.prompt_tokens * kind.read_factor / model.read_tokens_per_ms
-    return (read_ms + demand.answer_tokens * step_ms) / model.layers
-
-
-def _crossing_ms(model: LayeredModel, demand: PathDemand, *, first: bool) -> float:
-    """Return the time on the link between data centres; a caller's own hop is only text."""
-    if first or model.cross_link_mbps <= 0:
-        return 0.0
-    bits = demand.tokens * model.activation_bytes * 8
-    return bits / (model.cross_link_mbps * 1000)
+def _links(arrival: _Arrival | None) -> tuple[Link, ...]:
+    links = []
+    while arrival is not None and arrival.before is not None:
+        before = arrival.before
+        if before.endpoint is not None and before.data_centre != arrival.data_centre:
+            links.append(frozenset((before.data_centre, arrival.data_centre)))
+        arrival = before
+    return tuple(links)
