Refuse at once what cannot be served in time; chains with room for twelve; earlier repairs

Ruled out: links (none congested then). Change: the wait is estimated from the queue and the pace of freed places, Retry-After is a share of the caller's time, a hole is repaired at once, a chain has room for twelve sequences or is dissolved.

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/__init__.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/__init__.py
@@ -3,7 +3,7 @@
 from ragwortpaddled.coordination._admission import Admission
 from ragwortpaddled.coordination._chain import ChainContext, Work, choose_chain, covers
 from ragwortpaddled.coordination._directory import Directory
-from ragwortpaddled.coordination._dispatcher import Dispatcher
+from ragwortpaddled.coordination._dispatcher import Dispatcher, PlaceRequest, Target
 from ragwortpaddled.coordination._explainer import Explainer
 from ragwortpaddled.coordination._fault_finder import FaultFinder
 from ragwortpaddled.coordination._generation import Generator, Job
@@ -44,6 +44,7 @@
     "OrderKeeper",
     "PeerLinks",
     "PeerService",
+    "PlaceRequest",
     "Placer",
     "Quarantines",
     "RecoveryGate",
@@ -57,6 +58,7 @@
     "ServiceTarget",
     "Services",
     "SignalBoard",
+    "Target",
     "TokenBucket",
     "Watchman",
     "Work",
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_dispatcher.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_dispatcher.py
@@ -10,7 +10,7 @@
 import logging
 import random
 import time
-from collections import defaultdict
+from collections import defaultdict, deque
 from dataclasses import dataclass, field
 
 from ragwortpaddled.coordination._relay_fleet import RelayFleet
@@ -27,15 +27,18 @@
 
 WAKE_SECONDS = 0.05  # others' load fades without an event of our own
 REMOTE_COST = 0.2  # of a place: a caller's bytes across data centres are priced
+PACE_SECONDS = 2.0  # over which the pace of freed places is counted, about one generation
 UNCOVERED_RETRY_SECONDS = 1.0  # loading the layers of one engine takes a second or two
-MIN_RETRY_SECONDS = 0.3
-MAX_RETRY_SECONDS = 3.0
+# Of the time that a caller has left. Callers come back once or twice and wait for a third of that
+# time at most, so a caller that comes back too early has lost its last chance.
+MIN_RETRY_SHARE = 0.1
+MAX_RETRY_SHARE = 0.3
 
 logger = logging.getLogger(__name__)
 
 
 @dataclass(frozen=True, slots=True)
-class Work:
+class PlaceRequest:
     """What a request needs of its pool."""
 
     request_id: str
@@ -43,6 +46,7 @@
     demand: PathDemand
     priority: int
     give_up_at: float
+    deadline: float
     avoided: frozenset[str] = frozenset()
 
 
@@ -89,7 +93,7 @@
 class _Waiter:
     priority: int
     number: int
-    work: Work = field(compare=False)
+    work: PlaceRequest = field(compare=False)
     target: asyncio.Future[Target] = field(compare=False)
 
 
@@ -102,6 +106,7 @@
         self._random = random_source
         self._numbers = itertools.count()
         self._waiters_by_pool: defaultdict[str, list[_Waiter]] = defaultdict(list)
+        self._grants_by_pool: defaultdict[str, deque[float]] = defaultdict(deque)
         fleet.on_change(self.wake)
 
     def waiting(self, pool: str) -> int:
@@ -114,11 +119,11 @@
             await asyncio.sleep(WAKE_SECONDS)
             self.wake()
 
-    def take_at_once(self, work: Work) -> Target | None:
+    def take_at_once(self, work: PlaceRequest) -> Target | None:
         """Return a target with a place held, None if there is none now."""
         return None if self.waiting(work.pool.name) else self._try(work)
 
-    async def take(self, work: Work) -> Target:
+    async def take(self, work: PlaceRequest) -> Target:
         """Return a target with a place held, waiting for one in order of priority.
 
         :raises RefusedError: no place will be free in time, or no endpoint serves the pool
@@ -128,6 +133,9 @@
         at_once = self.take_at_once(work)
         if at_once is not None:
             return at_once
+        wait_seconds = self._expected_wait(work)
+        if began + wait_seconds > work.give_up_at:
+            raise self._refusal(work, wait_seconds)
         waiter = _Waiter(
             work.priority, next(self._numbers), work, asyncio.get_running_loop().create_future()
         )
@@ -136,7 +144,7 @@
             async with asyncio.timeout(max(0.0, work.give_up_at - began)):
                 target = await waiter.target
         except TimeoutError:
-            raise self._refusal(work) from None
+            raise self._refusal(work, self._expected_wait(work)) from None
         finally:
             if waiter in waiters:
                 waiters.remove(waiter)
@@ -151,7 +159,7 @@
         target.release()
         self.wake()
 
-    def has_other_path(self, work: Work, target: Target) -> bool:
+    def has_other_path(self, work: PlaceRequest, target: Target) -> bool:
         """Tell whether a request would get another path than the one it has."""
         if work.pool.model is None or self.waiting(work.pool.name):
             return False
@@ -181,14 +189,15 @@
                     break
                 heapq.heappop(waiters).target.set_result(target)
 
-    def _try(self, work: Work) -> Target | None:
+    def _try(self, work: PlaceRequest) -> Target | None:
         choose = self._try_path if work.pool.model is not None else self._try_endpoint
         target = choose(work)
         if target is not None:
             target.hold()
+            self._grants_by_pool[work.pool.name].append(time.monotonic())
         return target
 
-    def _try_path(self, work: Work) -> Target | None:
+    def _try_path(self, work: PlaceRequest) -> Target | None:
         assert work.pool.model is not None
         choice = self._choose_path(work)
         if not choice.hops:
@@ -196,9 +205,11 @@
         entry = self._fleet.entry_by_id[choice.hops[0].endpoint_id]
         for link in choice.links:
             self._fleet.links.note(link, crossing_bits(work.pool.model, work.demand))
-        return Target(entry, choice.hops, work.demand.tokens, self._fleet.loads, links=choice.links)
+        return Target(
+            entry, choice.hops, work.demand.mean_tokens, self._fleet.loads, links=choice.links
+        )
 
-    def _choose_path(self, work: Work) -> PathChoice:
+    def _choose_path(self, work: PlaceRequest) -> PathChoice:
         assert work.pool.model is not None
         return choose_path(
             work.pool.model,
@@ -210,7 +221,7 @@
             start_data_centre=self._data_centre,
         )
 
-    def _try_endpoint(self, work: Work) -> Target | None:
+    def _try_endpoint(self, work: PlaceRequest) -> Target | None:
         now = time.monotonic()
         loads = self._fleet.loads
         usable = [
@@ -230,13 +241,25 @@
 
         return Target(min(free, key=cost), (), 0.0, loads)
 
-    def _refusal(self, work: Work) -> RefusedError:
-        waiting = self.waiting(work.pool.name)
+    def _expected_wait(self, work: PlaceRequest) -> float:
+        """Estimate the seconds until a place, from those that wait before and the recent pace."""
+        now = time.monotonic()
+        grants = self._grants_by_pool[work.pool.name]
+        while grants and grants[0] < now - PACE_SECONDS:
+            grants.popleft()
+        waiters = self._waiters_by_pool[work.pool.name]
+        before = sum(1 for waiter in waiters if waiter.priority <= work.priority)
+        return before * PACE_SECONDS / max(1, len(grants))
+
+    def _refusal(self, work: PlaceRequest, wait_seconds: float) -> RefusedError:
         endpoints = [e for e in self._fleet.in_pool(work.pool.name) if not e.leaving]
         if not endpoints:
             return RefusedError(503, "no endpoint serves the pool", UNCOVERED_RETRY_SECONDS)
-        seconds = MIN_RETRY_SECONDS * (1 + waiting / len(endpoints))
-        return RefusedError(503, "no place became free in time", min(seconds, MAX_RETRY_SECONDS))
+        left = max(0.0, work.deadline - time.monotonic())
+        seconds = min(max(wait_seconds, left * MIN_RETRY_SHARE), left * MAX_RETRY_SHARE)
+        # Those refused together must not come back together.
+        seconds *= self._random.uniform(1.0, 1.3)
+        return RefusedError(503, "no place will be free in time", seconds)
 
 
 def _release_unless_taken(future: "asyncio.Future[Target]", began: float) -> None:
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_placer.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_placer.py
@@ -27,9 +27,10 @@
 STANDBY_SECONDS = 1.6  # reads of daemons that do not hold the lease
 HOLDER_SECONDS = 2.0  # of silence after which a peer's word on the lease is too old
 SETTLE_SECONDS = 0.6  # endpoints register within a second of each other at a start
+REPAIR_SETTLE_SECONDS = 0.1  # a chain with a hole serves nothing; flocks of entries come together
 REPEAT_SECONDS = 2.0  # an accepted order shows in the endpoint's entry within a heartbeat
 ORDER_TIMEOUT_SECONDS = 1.0
-TICK_SECONDS = 0.2
+TICK_SECONDS = 0.1
 PURPOSE = "placement"
 PLAN_PREFIX = "placements/"
 
@@ -90,7 +91,7 @@
                 held = await self._lease.keep()
                 renew_at = now + (LEASE_SECONDS if held else STANDBY_SECONDS)
                 if held and self._fencing != self._lease.fencing:
-                    await self._take_over()
+                    await self._read_plans()
             if self._lease.remaining() > ORDER_TIMEOUT_SECONDS:
                 await self._place()
             await asyncio.sleep(TICK_SECONDS)
@@ -110,8 +111,8 @@
             return {}
         return {p.name: p.model for p in config.pool_by_name.values() if p.model is not None}
 
-    async def _take_over(self) -> None:
-        logger.info("lease won", extra={"fields": {"fencing": self._lease.fencing}})
+    async def _read_plans(self) -> None:
+        """Take up the plans as they are stored, at a take-over and after a write that failed."""
         try:
             plans = {}
             for pool in self._pools():
@@ -122,6 +123,7 @@
         self._plans = plans
         self._ordered_by_id.clear()
         self._fencing = self._lease.fencing
+        logger.info("placement taken up", extra={"fields": {"fencing": self._fencing}})
 
     async def _place(self) -> None:
         if self._fencing != self._lease.fencing:
@@ -148,7 +150,8 @@
         whole = all(s.engine_id in entries for chain in plan.chains for s in chain)
         if plan.chains and whole and plan.seen == set(entries):
             return
-        if time.monotonic() - self._changed_at < SETTLE_SECONDS:
+        settle_seconds = REPAIR_SETTLE_SECONDS if plan.chains else SETTLE_SECONDS
+        if time.monotonic() - self._changed_at < settle_seconds:
             return
         engines = [
             Engine(e.id, e.data_centre, e.kind, e.layers)
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay.py
@@ -9,7 +9,7 @@
 from urllib.parse import urlsplit
 
 from ragwortpaddled import telemetry
-from ragwortpaddled.coordination._dispatcher import Dispatcher, Target, Work
+from ragwortpaddled.coordination._dispatcher import Dispatcher, PlaceRequest, Target
 from ragwortpaddled.coordination._fault_finder import FaultFinder
 from ragwortpaddled.coordination._relay_exchange import Answer, Exchanger
 from ragwortpaddled.coordination._relay_fleet import RelayFleet
@@ -198,7 +198,7 @@
             if not self._budget.spend(self._pool.name):
                 return await self._fail(502, "the retry budget is spent")
 
-    def _work(self) -> Work:
+    def _work(self) -> PlaceRequest:
         now = time.monotonic()
         if self._route.repeat is Repeat.STREAM:
             patience = STREAM_WAIT_SECONDS - (0 if self._responder.started else now - self.began)
@@ -207,12 +207,13 @@
         priority = self._route.priority
         if self.team is not None and self.team.priority is not None:
             priority = self.team.priority
-        return Work(
+        return PlaceRequest(
             self._facts.attempt_id,
             self._pool,
             PathDemand(self._facts.prompt_tokens, self._facts.expected_answer_tokens),
             priority,
             now + max(0.0, patience),
+            self.deadline,
             frozenset(self._avoided),
         )
 
--- a/packages/ragwortpaddled/src/ragwortpaddled/state/_layer_paths.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/_layer_paths.py
@@ -14,7 +14,7 @@
 from ragwortpaddled.state._link_loads import Link, LinkLoads
 from ragwortpaddled.state._placement import token_capacity
 
-MEMORY_SHARE = 0.92  # of an engine's tokens; answers often run longer than their hint
+MEMORY_SHARE = 0.95  # of an engine's tokens; answers often run longer than their hint
 MAX_BUSY = 0.9  # of a link, to keep its cost finite
 MAX_HOPS = 32  # the engines refuse longer paths
 
@@ -31,6 +31,11 @@
         """Return the tokens that are held at the end of the answer."""
         return self.prompt_tokens + self.answer_tokens
 
+    @property
+    def mean_tokens(self) -> float:
+        """Return the tokens that are held on average while the answer is made."""
+        return self.prompt_tokens + self.answer_tokens / 2
+
 
 @dataclass(frozen=True, slots=True)
 class PathChoice:
@@ -80,7 +85,7 @@
     kind = model.kind_by_name.get(endpoint.kind)
     if kind is None or load.running(now) >= model.slots:
         return False
-    usual = model.usual_prompt_tokens + model.usual_answer_tokens
+    usual = model.usual_prompt_tokens + model.usual_answer_tokens / 2
     held = load.own_tokens + load.others(now) * usual
     capacity = token_capacity(model, kind, len(endpoint.layers))
     return held + demand.tokens <= capacity * MEMORY_SHARE
--- a/packages/ragwortpaddled/src/ragwortpaddled/state/_placement.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/_placement.py
@@ -12,8 +12,9 @@
 
 from ragwortpaddled.protocol import AcceleratorKind, LayeredModel, LayerRange
 
-# Fewer sequences than this leave a chain idle between them.
-MIN_SEQUENCES_PER_CHAIN = 4
+# Daemons that choose at the same time are off by a sequence each, so a chain with room for few is
+# refused more often than used.
+MIN_SEQUENCES_PER_CHAIN = 12
 # More chains than the fastest number are taken at this share of its rate: each failure costs less.
 ACCEPTED_RATE_SHARE = 0.8
 SEARCH_STEPS = 24
@@ -79,18 +80,16 @@
     kept = [chain for chain in chains if all(s.engine_id in engine_by_id for s in chain)]
     used = {stage.engine_id for chain in chains for stage in chain}
     spares = [engine for engine in engines if engine.id not in used]
-    dissolved = []
-    for chain in chains:
-        if chain in kept:
-            continue
+    broken = [chain for chain in chains if chain not in kept]
+    for chain in sorted(broken, key=lambda c: sum(s.engine_id not in engine_by_id for s in c)):
         filled = _fill_holes(model, chain, engine_by_id, spares)
         if filled is None:
-            dissolved += [engine_by_id[s.engine_id] for s in chain if s.engine_id in engine_by_id]
+            spares += [engine_by_id[s.engine_id] for s in chain if s.engine_id in engine_by_id]
             continue
         kept.append(filled)
         taken = {stage.engine_id for stage in filled}
         spares = [engine for engine in spares if engine.id not in taken]
-    return kept + plan_chains(model, [*dissolved, *spares])
+    return kept + plan_chains(model, spares)
 
 
 def _usual_tokens(model: LayeredModel) -> float:
