--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/__init__.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/__init__.py
@@ -11,6 +11,7 @@
 from ragwortpaddled.coordination._ledger import Ledger
 from ragwortpaddled.coordination._limits import TokenBucket
 from ragwortpaddled.coordination._membership import Membership
+from ragwortpaddled.coordination._object_follower import ObjectFollower
 from ragwortpaddled.coordination._orders import OrderKeeper
 from ragwortpaddled.coordination._peer_links import PeerLinks
 from ragwortpaddled.coordination._peer_service import PeerService
@@ -40,6 +41,7 @@
     "Journal",
     "Ledger",
     "Membership",
+    "ObjectFollower",
     "Observation",
     "OrderKeeper",
     "PeerLinks",
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_dispatcher.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_dispatcher.py
@@ -59,6 +59,8 @@
     tokens: float
     loads: EndpointLoads
     links: tuple[Link, ...] = ()
+    cost_ms: float = 0.0
+    considered: int = 1
     waited_seconds: float = 0.0
     _held: bool = field(default=False)
 
@@ -206,7 +208,13 @@
         for link in choice.links:
             self._fleet.links.note(link, crossing_bits(work.pool.model, work.demand))
         return Target(
-            entry, choice.hops, work.demand.mean_tokens, self._fleet.loads, links=choice.links
+            entry,
+            choice.hops,
+            work.demand.mean_tokens,
+            self._fleet.loads,
+            choice.links,
+            choice.cost_ms,
+            choice.considered,
         )
 
     def _choose_path(self, work: PlaceRequest) -> PathChoice:
@@ -239,7 +247,7 @@
             load = loads.of(entry.id).running(now) + remote
             return load / max(1, entry.slots) + self._random.random() * 1e-3
 
-        return Target(min(free, key=cost), (), 0.0, loads)
+        return Target(min(free, key=cost), (), 0.0, loads, considered=len(free))
 
     def _expected_wait(self, work: PlaceRequest) -> float:
         """Estimate the seconds until a place, from those that wait before and the recent pace."""
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_object_follower.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_object_follower.py
@@ -1,18 +1,20 @@
 """Follows all objects below a prefix of the platform: one list, then watches."""
 
 import asyncio
+import errno
 import logging
 import random
 import time
 from collections.abc import Callable
 
-from ragwortpaddled.errors import HistoryLostError, PlatformError
+from ragwortpaddled.errors import HistoryLostError, PlatformError, ReplyTimeoutError
 from ragwortpaddled.protocol import ObjectList, Platform, StoredObject
 
 WATCH_SECONDS = 20.0  # a waiting watch is priced as one call; 30 s is the platform's limit
 RETRY_MIN_SECONDS = 0.1
 RETRY_MAX_SECONDS = 1.0  # half of the time within which a configuration must be in force
 OUTAGE_SECONDS = 1.0  # shorter gaps let no entry lapse
+SILENT_SECONDS = 3.0  # a connection is given up after so long without a sign of its peer
 RETURN_GRACE_SECONDS = 2.5  # living entries are back about 2 s after the store
 
 logger = logging.getLogger(__name__)
@@ -132,6 +134,17 @@
     def _note_loss(self, error: PlatformError) -> None:
         if self._lost_at is not None:
             return
-        self._lost_at = time.monotonic()
+        self._lost_at = time.monotonic() - (SILENT_SECONDS if _was_silent(error) else 0.0)
         fields = {"prefix": self._prefix, "reason": str(error)}
         logger.warning("platform lost", extra={"fields": fields})
+
+
+def _was_silent(error: BaseException | None) -> bool:
+    """Tell whether a call ended because nothing came, so that an outage began before."""
+    while error is not None:
+        if isinstance(error, TimeoutError | ReplyTimeoutError):
+            return True
+        if isinstance(error, OSError) and error.errno == errno.ETIMEDOUT:
+            return True
+        error = error.__cause__
+    return False
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay.py
@@ -5,6 +5,7 @@
 import random
 import time
 from collections.abc import Coroutine
+from dataclasses import dataclass
 from typing import Any, TypeVar
 from urllib.parse import urlsplit
 
@@ -103,21 +104,20 @@
         seconds = route.timeout_seconds
         if facts.deadline_ms is not None:
             seconds = min(seconds, facts.deadline_ms / 1000)
-        service = _RelayedRequest(
-            self._dispatcher,
-            self._exchanger,
-            self._faults,
-            self._budget,
-            request,
-            facts,
-            responder,
-            route,
-            pool,
-        )
-        service.began = began
-        service.deadline = began + seconds
-        service.team = team
-        return await service.run()
+        return await _RelayedRequest(
+            dispatcher=self._dispatcher,
+            exchanger=self._exchanger,
+            faults=self._faults,
+            budget=self._budget,
+            request=request,
+            facts=facts,
+            responder=responder,
+            route=route,
+            pool=pool,
+            team=team,
+            began=began,
+            deadline=began + seconds,
+        ).run()
 
     def _route(self, request: ServerRequest) -> PathRoute:
         host = (request.header(b"host") or b"").decode("latin-1").partition(":")[0]
@@ -128,36 +128,26 @@
         return route
 
 
+@dataclass
 class _RelayedRequest:
-    """The attempts of one request."""
-
-    began = 0.0
-    deadline = 0.0
-    team: RelayTeam | None = None
-
-    def __init__(
-        self,
-        dispatcher: Dispatcher,
-        exchanger: Exchanger,
-        faults: FaultFinder,
-        budget: SendBudget,
-        request: ServerRequest,
-        facts: RequestFacts,
-        responder: Responder,
-        route: PathRoute,
-        pool: RelayPool,
-    ) -> None:
-        self._dispatcher = dispatcher
-        self._exchanger = exchanger
-        self._faults = faults
-        self._budget = budget
-        self._request = request
-        self._facts = facts
-        self._responder = responder
-        self._route = route
-        self._pool = pool
+    """The attempts of one request; times are on the monotonic clock, in seconds."""
+
+    dispatcher: Dispatcher
+    exchanger: Exchanger
+    faults: FaultFinder
+    budget: SendBudget
+    request: ServerRequest
+    facts: RequestFacts
+    responder: Responder
+    route: PathRoute
+    pool: RelayPool
+    team: RelayTeam | None
+    began: float
+    deadline: float
+
+    def __post_init__(self) -> None:
         self._splitter = EventSplitter()
-        self._splitter.last_id = facts.last_event_id
+        self._splitter.last_id = self.facts.last_event_id
         self._avoided: set[str] = set()
         self._may_have_run = False
         self._runs = 0
@@ -167,7 +157,7 @@
 
         :raises RefusedError: no endpoint ran it
         """
-        self._budget.note_request(self._pool.name)
+        self.budget.note_request(self.pool.name)
         try:
             async with asyncio.timeout_at(_loop_time(self.deadline)):
                 return await self._try_until_answered()
@@ -178,7 +168,7 @@
         sends = 0
         while True:
             try:
-                target = await self._dispatcher.take(self._work())
+                target = await self.dispatcher.take(self._work())
             except RefusedError as refusal:
                 if not self._may_have_run:
                     raise
@@ -193,28 +183,28 @@
                 self._note_failure(error, target)
                 self._may_have_run = True
                 self._runs += 1
-                if not self._route.repeatable:
+                if not self.route.repeatable:
                     return await self._fail(502, error.reason)
             finally:
-                self._dispatcher.release(target)
-            if self._runs >= self._route.max_attempts or sends >= MAX_SENDS:
+                self.dispatcher.release(target)
+            if self._runs >= self.route.max_attempts or sends >= MAX_SENDS:
                 return await self._fail(502, "every attempt failed")
-            if not self._budget.spend(self._pool.name):
+            if not self.budget.spend(self.pool.name):
                 return await self._fail(502, "the retry budget is spent")
 
     def _work(self) -> PlaceRequest:
         now = time.monotonic()
-        if self._route.repeat is Repeat.STREAM:
-            patience = STREAM_WAIT_SECONDS - (0 if self._responder.started else now - self.began)
+        if self.route.repeat is Repeat.STREAM:
+            patience = STREAM_WAIT_SECONDS - (0 if self.responder.started else now - self.began)
         else:
             patience = (self.deadline - now) * PLAIN_WAIT_SHARE
-        priority = self._route.priority
+        priority = self.route.priority
         if self.team is not None and self.team.priority is not None:
             priority = self.team.priority
         return PlaceRequest(
-            self._facts.attempt_id,
-            self._pool,
-            PathDemand(self._facts.prompt_tokens, self._facts.expected_answer_tokens),
+            self.facts.attempt_id,
+            self.pool,
+            PathDemand(self.facts.prompt_tokens, self.facts.expected_answer_tokens),
             priority,
             now + max(0.0, patience),
             self.deadline,
@@ -223,19 +213,21 @@
 
     async def _attempt(self, target: Target) -> None:
         _note(
-            self._facts,
+            self.facts,
             "sent",
             endpoint=target.endpoint.id,
             path=[hop.endpoint_id for hop in target.path],
+            considered=target.considered,
+            expected_ms=int(target.cost_ms),
             waited_ms=int(target.waited_seconds * 1000),
             resume=self._splitter.last_id,
         )
-        streams = self._route.repeat is Repeat.STREAM
-        sending = self._exchanger.send(
-            self._request,
-            self._facts,
+        streams = self.route.repeat is Repeat.STREAM
+        sending = self.exchanger.send(
+            self.request,
+            self.facts,
             target,
-            self._route,
+            self.route,
             deadline=self.deadline,
             team=self.team.name if self.team else "",
             last_event_id=self._splitter.last_id,
@@ -253,20 +245,20 @@
             raise MaybeRunError(target.endpoint.id, str(error)) from error
         finally:
             answer.close()
-        self._dispatcher.note_success(target)
+        self.dispatcher.note_success(target)
 
     async def _relay_whole(self, answer: Answer, target: Target) -> None:
         body = await answer.read_all()
         if (
             answer.status >= 500
-            and self._route.repeatable
-            and self._runs + 1 < self._route.max_attempts
+            and self.route.repeatable
+            and self._runs + 1 < self.route.max_attempts
         ):
             raise MaybeRunError(target.endpoint.id, f"status {answer.status}")
-        if self._responder.started:
+        if self.responder.started:
             raise MaybeRunError(target.endpoint.id, f"status {answer.status} instead of a stream")
-        await self._responder.send(answer.status, answer.headers, body)
-        _note(self._facts, "answered", status=answer.status, began=self.began)
+        await self.responder.send(answer.status, answer.headers, body)
+        _note(self.facts, "answered", status=answer.status, began=self.began)
 
     async def _relay_stream(self, answer: Answer, target: Target) -> None:
         while True:
@@ -274,22 +266,22 @@
             if data is None:
                 break
             events = self._splitter.feed(data)
-            if events and not self._responder.started:
-                await self._responder.start(answer.status, answer.headers)
-            await self._responder.write(events)
+            if events and not self.responder.started:
+                await self.responder.start(answer.status, answer.headers)
+            await self.responder.write(events)
         if self._splitter.torn:
             raise MaybeRunError(target.endpoint.id, "the stream ended within an event")
-        if not self._responder.started:
-            await self._responder.start(answer.status, answer.headers)
-        await self._responder.finish()
-        _note(self._facts, "answered", status=answer.status, began=self.began)
+        if not self.responder.started:
+            await self.responder.start(answer.status, answer.headers)
+        await self.responder.finish()
+        _note(self.facts, "answered", status=answer.status, began=self.began)
 
     async def _unless_late(self, sending: Coroutine[Any, Any, Answer], target: Target) -> Answer:
         """Leave an endpoint that is late for a safe request while another can still be asked."""
-        last = self._runs + 1 >= self._route.max_attempts
-        if self._route.repeat is not Repeat.SAFE or last:
+        last = self._runs + 1 >= self.route.max_attempts
+        if self.route.repeat is not Repeat.SAFE or last:
             return await sending
-        seconds = max(MIN_LATE_SECONDS, self._route.aim_seconds * LATE_AIM_SHARE)
+        seconds = max(MIN_LATE_SECONDS, self.route.aim_seconds * LATE_AIM_SHARE)
         try:
             async with asyncio.timeout(seconds):
                 return await sending
@@ -309,11 +301,11 @@
         task = asyncio.create_task(step)
         try:
             while not (await asyncio.wait([task], timeout=seconds))[0]:
-                culprit = await self._faults.culprit(target, self._facts.attempt_id)
+                culprit = await self.faults.culprit(target, self.facts.attempt_id)
                 if task.done():
                     break
                 self._congest(target, culprit)
-                if culprit or self._dispatcher.has_other_path(self._work(), target):
+                if culprit or self.dispatcher.has_other_path(self._work(), target):
                     raise StalledError(culprit or "", f"no progress for {seconds} s")
             return task.result()
         finally:
@@ -325,8 +317,8 @@
         if culprit:
             return
         for link in target.links:
-            seconds = self._dispatcher.congest(link)
-            _note(self._facts, "link congested", link=sorted(link), avoided_ms=int(seconds * 1000))
+            seconds = self.dispatcher.congest(link)
+            _note(self.facts, "link congested", link=sorted(link), avoided_ms=int(seconds * 1000))
 
     def _note_failure(self, error: EndpointError, target: Target) -> None:
         self._splitter.drop_partial()
@@ -338,25 +330,25 @@
             blamed = isinstance(error, StalledError | NotRunError) and bool(target.path)
             seconds = target.loads.fail(error.endpoint, blamed=blamed)
         _note(
-            self._facts,
+            self.facts,
             "attempt failed",
             endpoint=error.endpoint,
             reason=error.reason,
             not_run=isinstance(error, NotRunError),
             suspect_ms=int(seconds * 1000),
             last_event=self._splitter.last_id,
-            budget_left=int(self._budget.left(self._pool.name)),
+            budget_left=int(self.budget.left(self.pool.name)),
         )
 
     async def _fail(self, status: int, reason: str) -> str:
         """End without an answer; the status promises that it did not run only if that is so."""
-        if self._responder.started:
-            _note(self._facts, "cut", reason=reason, began=self.began)
+        if self.responder.started:
+            _note(self.facts, "cut", reason=reason, began=self.began)
             raise ConnectionResetError(reason)
         if not self._may_have_run and status == 502:
             raise RefusedError(503, reason, UNCONFIGURED_RETRY_SECONDS)
-        _note(self._facts, "failed", status=status, reason=reason, began=self.began)
-        await self._responder.send(status, [], reason.encode())
+        _note(self.facts, "failed", status=status, reason=reason, began=self.began)
+        await self.responder.send(status, [], reason.encode())
         return f"failed {status}"
 
 
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_fleet.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_fleet.py
@@ -101,6 +101,7 @@
             self._ids_by_pool[known.pool].discard(endpoint_id)
         if entry is None:
             self.entry_by_id.pop(endpoint_id, None)
+            self.loads.forget(set(self.entry_by_id))
             logger.info("endpoint gone", extra={"fields": {"endpoint": endpoint_id}})
             self._notify()
             return
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_peers.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_peers.py
@@ -8,6 +8,7 @@
 import logging
 import random
 import secrets
+from collections.abc import Awaitable, Callable
 
 import msgspec
 
@@ -109,13 +110,13 @@
         except PlatformError as error:
             logger.info("entry not removed", extra={"fields": {"reason": str(error)}})
 
-    async def _retry(self, step) -> None:  # type: ignore[no-untyped-def]
+    async def _retry(self, step: Callable[[], Awaitable[None]]) -> None:
         while True:
             try:
                 await step()
                 return
             except PlatformError as error:
-                fields = {"step": step.__name__, "reason": str(error)}
+                fields = {"step": getattr(step, "__name__", ""), "reason": str(error)}
                 logger.warning("peers not joined yet", extra={"fields": fields})
                 await asyncio.sleep(RETRY_SECONDS * self._random.uniform(0.5, 1.0))
 
--- a/packages/ragwortpaddled/src/ragwortpaddled/protocol/_relay.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/_relay.py
@@ -202,15 +202,6 @@
     fencing: int
 
 
-@dataclass(frozen=True, slots=True)
-class RepathOrder:
-    """Tells the first engine of a path to go on over another path."""
-
-    attempt_id: str
-    path: tuple[Hop, ...]
-    fencing: int
-
-
 class Dialect(Protocol):
     """Translates between the relay's types and what a deployment speaks."""
 
@@ -243,6 +234,3 @@
 
     def encode_place(self, order: PlaceOrder) -> bytes:
         """Encode a placement order."""
-
-    def encode_repath(self, order: RepathOrder) -> bytes:
-        """Encode an order to change a running request's path."""
