--- a/packages/ragwortpaddle/src/ragwortpaddle/__main__.py
+++ b/packages/ragwortpaddle/src/ragwortpaddle/__main__.py
@@ -21,6 +21,7 @@
 )
 from ragwortpaddled.transport import HttpClient
 
+from ragwortpaddle._story import tell_story
 from ragwortpaddle._workspace import Workspace
 
 EXIT_FAILED = 1
@@ -193,12 +194,15 @@
     return _with_workspace(platform, work)
 
 
-def explain(name: str, *, platform: str = DEFAULT_PLATFORM) -> int:
+def explain(name: str, *, platform: str = DEFAULT_PLATFORM, logs: Path | None = None) -> int:
     """Print what the daemons know of a request or an object.
 
     :param name: a request id, or the name of an object or an endpoint
     :param platform: URL of the platform's object API
+    :param logs: tell a request's story from this file of log lines, - for standard input
     """
+    if logs is not None:
+        return _explain_from_logs(name, logs)
 
     async def work(workspace: Workspace, http: HttpClient) -> int:
         known: dict[str, int] = {}
@@ -279,6 +283,16 @@
     return asyncio.run(run())
 
 
+def _explain_from_logs(request_id: str, logs: Path) -> int:
+    with sys.stdin if str(logs) == "-" else logs.open() as lines:
+        story = tell_story(lines, request_id)
+    if not story:
+        print(f"{logs} holds no line about {request_id}")
+        return EXIT_FAILED
+    print("\n".join(story))
+    return 0
+
+
 def main() -> None:
     """Run a command."""
     commands = [check, apply, publish, get, delete, history, status, explain]
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay.py
@@ -305,7 +305,7 @@
                 if task.done():
                     break
                 self._congest(target, culprit)
-                if culprit or self.dispatcher.has_other_path(self._work(), target):
+                if culprit or self._can_do_better(target):
                     raise StalledError(culprit or "", f"no progress for {seconds} s")
             return task.result()
         finally:
@@ -313,6 +313,10 @@
                 task.cancel()
                 await asyncio.wait([task])
 
+    def _can_do_better(self, target: Target) -> bool:
+        last = self._runs + 1 >= self.route.max_attempts
+        return not last and self.dispatcher.has_other_path(self._work(), target)
+
     def _congest(self, target: Target, culprit: str | None) -> None:
         if culprit:
             return
--- a/packages/standins/src/ragwortpaddle_standins/users_platform.py
+++ b/packages/standins/src/ragwortpaddle_standins/users_platform.py
@@ -15,6 +15,7 @@
 
 EVENT_SECONDS = 0.005
 STALL_SECONDS = 2.0
+PAUSE_SECONDS = 1.0
 JSON = [(b"Content-Type", b"application/json")]
 
 
@@ -232,6 +233,7 @@
 
     peers: dict[str, "Engine"]
     total_events = 8
+    pause_at = 0
     fence = 0
     orders = 0
     stalled: dict[str, str]
@@ -276,6 +278,8 @@
         try:
             for number in range(first, self.total_events + 1):
                 await self._wait_for(stages, attempt_id)
+                if number == self.pause_at:
+                    await asyncio.sleep(PAUSE_SECONDS)
                 event = f"id: {number}\ndata: token {number}\n\n".encode()
                 if self.fault == "torn" and number == self.total_events // 2:
                     await responder.write(event[:7])
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -121,6 +121,14 @@
             body += data
         assert body == EVENTS
 
+    async def test_pause_without_a_culprit_outlasts_the_last_attempt(self, fleet) -> None:
+        """A busy link stalls every path for a second; the last attempt is not given up for it."""
+        for engine in fleet.engines:
+            engine.pause_at = 3
+        head, body = await fleet.ask(b"POST", b"/ask/1")
+        assert (head.status, body) == (200, EVENTS)
+        assert sum(engine.ran("a1") for engine in fleet.engines) == 2
+
     async def test_stream_that_may_not_resume_is_cut(self, fleet: RelayFleet) -> None:
         for engine in fleet.engines:
             engine.fault = "torn"
