--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_dispatcher.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_dispatcher.py
@@ -267,7 +267,16 @@
         seconds = min(max(wait_seconds, left * MIN_RETRY_SHARE), left * MAX_RETRY_SHARE)
         # Those refused together must not come back together.
         seconds *= self._random.uniform(1.0, 1.3)
-        return RefusedError(503, "no place will be free in time", seconds)
+        return RefusedError(
+            503,
+            "no place will be free in time",
+            seconds,
+            waiting=self.waiting(work.pool.name),
+            freed=len(self._grants_by_pool[work.pool.name]),
+            freed_within_ms=int(PACE_SECONDS * 1000),
+            expected_wait_ms=int(wait_seconds * 1000),
+            endpoints=len(endpoints),
+        )
 
 
 def _release_unless_taken(future: "asyncio.Future[Target]", began: float) -> None:
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay.py
@@ -83,7 +83,16 @@
         except RefusedError as refusal:
             outcome = f"refused {refusal.status}"
             await _refuse(responder, refusal)
-            _note(facts, "refused", status=refusal.status, reason=refusal.reason, began=began)
+            _note(
+                facts,
+                "refused",
+                status=refusal.status,
+                reason=refusal.reason,
+                config=self._fleet.config.version if self._fleet.config else 0,
+                retry_after_ms=int(refusal.retry_after_seconds * 1000),
+                began=began,
+                **refusal.inputs,
+            )
         except asyncio.CancelledError:
             _note(facts, "caller left", began=began)
             raise
--- a/packages/ragwortpaddled/src/ragwortpaddled/errors.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/errors.py
@@ -108,13 +108,16 @@
 
 
 class RefusedError(RagwortpaddleError):
-    """A request is refused before any endpoint ran it."""
+    """A request is refused before any endpoint ran it; the inputs are what decided it."""
 
-    def __init__(self, status: int, reason: str, retry_after_seconds: float = 0.0) -> None:
+    def __init__(
+        self, status: int, reason: str, retry_after_seconds: float = 0.0, **inputs: object
+    ) -> None:
         super().__init__(reason)
         self.status = status
         self.reason = reason
         self.retry_after_seconds = retry_after_seconds
+        self.inputs = inputs
 
 
 class NoChainError(RagwortpaddleError):
