--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/__init__.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/__init__.py
@@ -8,6 +8,7 @@
 from ragwortpaddled.coordination._fault_finder import FaultFinder
 from ragwortpaddled.coordination._generation import Generator, Job
 from ragwortpaddled.coordination._journal import Journal, RequestRecord
+from ragwortpaddled.coordination._lease import Lease
 from ragwortpaddled.coordination._ledger import Ledger
 from ragwortpaddled.coordination._limits import TokenBucket
 from ragwortpaddled.coordination._membership import Membership
@@ -39,6 +40,7 @@
     "Generator",
     "Job",
     "Journal",
+    "Lease",
     "Ledger",
     "Membership",
     "ObjectFollower",
--- /dev/null
+++ b/tests/test_lease.py
@@ -0,0 +1,91 @@
+"""The lease: renewed without a read, settled by reading back where a reply is lost."""
+
+import pytest
+from ragwortpaddled.coordination import Lease
+from ragwortpaddled.errors import VersionConflictError, WriteOutcomeUnknownError
+from ragwortpaddled.protocol import StoredObject
+
+DURATION_SECONDS = 3.0
+
+
+class OneObject:
+    """A store of one object, whose next writes can lose their reply before or after the effect."""
+
+    def __init__(self) -> None:
+        self.stored: StoredObject | None = None
+        self.reads = 0
+        self.lose: list[str] = []
+
+    async def get(self, key: str, purpose: str) -> StoredObject | None:
+        self.reads += 1
+        return self.stored
+
+    async def put(self, key: str, value: str, expected: int, purpose: str) -> int:
+        lost = self.lose.pop(0) if self.lose else ""
+        if lost == "before":
+            raise WriteOutcomeUnknownError(key)
+        current = self.stored.version if self.stored else 0
+        if current != expected:
+            raise VersionConflictError(key, current)
+        self.stored = StoredObject(key, current + 1, value)
+        if lost == "after":
+            raise WriteOutcomeUnknownError(key)
+        return current + 1
+
+
+@pytest.fixture
+def store() -> OneObject:
+    return OneObject()
+
+
+@pytest.fixture
+def clock(monkeypatch) -> list[float]:
+    clock = [1000.0]
+    monkeypatch.setattr("ragwortpaddled.coordination._lease.time.monotonic", lambda: clock[0])
+    return clock
+
+
+def lease_of(store: OneObject, holder: str) -> Lease:
+    return Lease(store, "placement", holder)
+
+
+class TestRenewal:
+    async def test_needs_no_read(self, store: OneObject, clock) -> None:
+        lease = lease_of(store, "a")
+        assert await lease.keep()
+        reads = store.reads
+        for _ in range(5):
+            clock[0] += 1.0
+            assert await lease.keep()
+        assert store.reads == reads
+        assert lease.fencing == 1
+
+    @pytest.mark.parametrize("lost", ["before", "after"])
+    async def test_lost_reply_is_settled_by_reading_back(self, store, clock, lost: str) -> None:
+        lease = lease_of(store, "a")
+        await lease.keep()
+        store.lose = [lost]
+        clock[0] += 0.8
+        assert await lease.keep()
+        clock[0] += 0.8
+        assert await lease.keep()
+        assert lease.fencing == 1
+        assert lease.remaining() > DURATION_SECONDS / 2
+
+    async def test_holder_that_slept_gives_way(self, store: OneObject, clock) -> None:
+        slept, other = lease_of(store, "a"), lease_of(store, "b")
+        await slept.keep()
+        assert not await other.keep()
+        clock[0] += DURATION_SECONDS + 0.1
+        assert await other.keep()
+        assert other.fencing == 2
+        assert slept.remaining() == 0
+        assert not await slept.keep()
+        assert slept.fencing < other.fencing
+
+    async def test_two_that_take_it_at_once(self, store: OneObject, clock) -> None:
+        first, second = lease_of(store, "a"), lease_of(store, "b")
+        read = await store.get("leases/placement", "test")
+        assert read is None
+        held = [await first.keep(), await second.keep()]
+        assert held == [True, False]
