Specify the renewal of a lease without a read

Cause: the lease holder renews by the version that its own write left, which the specification did not have. Change: the step and a mutant that ignores the version.

--- a/spec/lease.pml
+++ b/spec/lease.pml
@@ -3,6 +3,7 @@
  * Action            Implemented by
  * read              coordination/_lease.py Lease._keep
  * renew, take       coordination/_lease.py Lease._hold, Lease._take
+ * renew unread      coordination/_lease.py Lease._keep, by the version that the own write left
  * valid             coordination/_lease.py Lease.remaining
  *
  * A daemon may pause between any two steps while time goes on, and a write's reply may be lost.
@@ -13,6 +14,7 @@
  *   COUNT_FROM_REPLY  the holder counts its lease from the reply of the write
  *   TAKE_EARLY        a successor does not wait for the whole duration
  *   SAME_FENCING      a successor keeps the fencing number of its predecessor
+ *   RENEW_ANYWAY      a renewal without a read does not look at the version
  */
 
 #define DURATION 2
@@ -48,10 +50,28 @@
 
 proctype Daemon(byte me) {
   byte sent, seen_version = 0, seen_at, v, h, f;
+  byte left = 0;                        /* the version that the own last write left, if known */
   bool won;
   do
   :: now >= END || version == LAST_VERSION -> break
+  :: now < END && version < LAST_VERSION && left != 0 && valid_until[me] > now ->
+     sent = now;
+     atomic {
+#ifdef RENEW_ANYWAY
+       won = true;
+#else
+       won = (version == left);
+#endif
+       if :: won -> version++; holder = me; v = version :: else -> skip fi
+     };
+     left = 0;
+     if
+     :: won -> take_reply(me, own_fencing[me]); left = v
+     :: true -> skip                   /* refused, or the reply is lost */
+     fi;
+     d_step { v = 0; won = false; sent = 0 }
   :: now < END && version < LAST_VERSION ->
+     left = 0;
      sent = now;
      atomic { v = version; h = holder; f = fencing };
      atomic {
@@ -68,9 +88,9 @@
      };
      if
      :: h == me && f == own_fencing[me] && valid_until[me] > now ->
-        atomic { won = (version == v); if :: won -> version++ :: else -> skip fi };
+        atomic { won = (version == v); if :: won -> version++; v = version :: else -> skip fi };
         if
-        :: won -> take_reply(me, f)
+        :: won -> take_reply(me, f); left = v
         :: true -> skip                /* refused, or the reply is lost */
         fi
      :: else ->
@@ -86,7 +106,7 @@
              won = (version == v);
              if
              :: won ->
-                version++; holder = me;
+                version++; holder = me; v = version;
 #ifndef SAME_FENCING
                 fencing++
 #endif
@@ -95,9 +115,9 @@
            };
            if
 #ifdef SAME_FENCING
-           :: won -> take_reply(me, f)
+           :: won -> take_reply(me, f); left = v
 #else
-           :: won -> take_reply(me, f + 1)
+           :: won -> take_reply(me, f + 1); left = v
 #endif
            :: true -> skip
            fi
