One header lookup, no search whose result nobody reads, ports from the system; less state

The stand-ins and the daemon under test now listen on port 0 and say what they got; two copies of free_address go. - A failed path choice searched a second time, at each wake while work waits, for a flag that only tests read; the search is a function of its own now, asked once for a refusal's log line. - Three lookups of a header are one; a layer range has one form in logs; state and parameters that nobody read go (adopted_at, synced_at, Answer.facts, dropped_by_event, request_id). - Back in place: a malformed reply to a refused write is the platform's error, as before the store got dialects, not the end of a duty. Lease calls that fail and settings that cannot be read are logged. Tests keep their assertions.

--- a/packages/ragwortpaddled/src/ragwortpaddled/_logs.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/_logs.py
@@ -4,7 +4,6 @@
 import logging
 import queue
 import sys
-from collections import Counter
 from contextvars import ContextVar
 from logging.handlers import QueueHandler, QueueListener
 
@@ -44,16 +43,11 @@
 class BoundedQueueHandler(QueueHandler):
     """Hands records to a writer thread, and counts what a full queue cannot take."""
 
-    def __init__(self, records: "queue.Queue[logging.LogRecord]") -> None:
-        super().__init__(records)
-        self.dropped_by_event: Counter[str] = Counter()
-
     def enqueue(self, record: logging.LogRecord) -> None:
         """Queue a record without waiting."""
         try:
             self.queue.put_nowait(record)
         except queue.Full:
-            self.dropped_by_event[record.getMessage()] += 1
             telemetry.dropped_log_lines.add(1, {"event": record.getMessage()})
 
 
--- a/packages/ragwortpaddled/src/ragwortpaddled/_relay_daemon.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/_relay_daemon.py
@@ -87,6 +87,16 @@
         self._stop = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
 
+    @property
+    def address(self) -> str:
+        """Return the address for callers, once started."""
+        return self._server.address
+
+    @property
+    def ready_address(self) -> str:
+        """Return the address for the balancer's probes, once started."""
+        return self._ready_server.address
+
     async def run(self) -> None:
         """Serve until asked to end, then end gracefully."""
         loop = asyncio.get_running_loop()
@@ -184,7 +194,8 @@
             await asyncio.sleep(SETTINGS_POLL_SECONDS)
             try:
                 changed = self._path.read_text() != self._text
-            except OSError:
+            except OSError as error:
+                logger.warning("settings not readable", extra={"fields": {"reason": str(error)}})
                 continue
             if changed:
                 self._reload()
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_dispatcher.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_dispatcher.py
@@ -22,6 +22,7 @@
     PathChoice,
     PathDemand,
     choose_path,
+    covers,
     crossing_bits,
 )
 
@@ -41,7 +42,6 @@
 class PlaceRequest:
     """What a request needs of its pool."""
 
-    request_id: str
     pool: RelayPool
     demand: PathDemand
     priority: int
@@ -121,10 +121,6 @@
             await asyncio.sleep(WAKE_SECONDS)
             self.wake()
 
-    def take_at_once(self, work: PlaceRequest) -> Target | None:
-        """Return a target with a place held, None if there is none now."""
-        return None if self.waiting(work.pool.name) else self._try(work)
-
     async def take(self, work: PlaceRequest) -> Target:
         """Return a target with a place held, waiting for one in order of priority.
 
@@ -132,7 +128,7 @@
         """
         began = time.monotonic()
         waiters = self._waiters_by_pool[work.pool.name]
-        at_once = self.take_at_once(work)
+        at_once = None if waiters else self._try(work)
         if at_once is not None:
             return at_once
         wait_seconds = self._expected_wait(work)
@@ -152,7 +148,7 @@
                 waiters.remove(waiter)
                 heapq.heapify(waiters)
             if waiter.target.done() and not waiter.target.cancelled():
-                _release_unless_taken(waiter.target, began)
+                _release_if_cancelled(waiter.target)
         target.waited_seconds = time.monotonic() - began
         return target
 
@@ -276,10 +272,24 @@
             freed_within_ms=int(PACE_SECONDS * 1000),
             expected_wait_ms=int(wait_seconds * 1000),
             endpoints=len(endpoints),
+            covered=self._covers(work, endpoints),
+        )
+
+    def _covers(self, work: PlaceRequest, endpoints: list[EndpointEntry]) -> bool:
+        """Tell whether the pool is only full, not without some layers."""
+        if work.pool.model is None:
+            return True
+        return covers(
+            work.pool.model,
+            endpoints,
+            self._fleet.loads,
+            self._fleet.links,
+            work.demand,
+            avoided=work.avoided,
         )
 
 
-def _release_unless_taken(future: "asyncio.Future[Target]", began: float) -> None:
+def _release_if_cancelled(future: "asyncio.Future[Target]") -> None:
     """Give back a place that was granted while its waiter was being cancelled."""
     task = asyncio.current_task()
     if task is not None and task.cancelling():
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_lease.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_lease.py
@@ -5,6 +5,7 @@
 duration. So the holder's own view always ends before anybody else's.
 """
 
+import logging
 import time
 
 import msgspec
@@ -20,6 +21,8 @@
 MARGIN_SECONDS = 0.5  # a pause may strike between the last check of the clock and the order
 PURPOSE = "lease"
 
+logger = logging.getLogger(__name__)
+
 
 class LeaseValue(msgspec.Struct, frozen=True):
     """The lease as it is stored; ``beat`` makes every renewal a change."""
@@ -52,7 +55,8 @@
         """Renew the lease, or take it if its holder let it lapse; return whether it is held."""
         try:
             return await self._keep()
-        except PlatformError:
+        except PlatformError as error:
+            logger.debug("lease not kept: %s", error)
             return self.remaining() > 0
 
     async def give_up(self) -> None:
@@ -63,8 +67,8 @@
         value = LeaseValue("", self.fencing, 0)
         try:
             await self._write(value, self._seen_version)
-        except PlatformError:
-            return
+        except PlatformError as error:
+            logger.info("lease not given up: %s", error)
 
     async def _keep(self) -> bool:
         sent_at = time.monotonic()
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_object_follower.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_object_follower.py
@@ -34,7 +34,6 @@
     ) -> None:
         self.object_by_key: dict[str, StoredObject] = {}
         self.revision = 0
-        self.synced_at = 0.0
         self.listed = asyncio.Event()
         self._platform = platform
         self._prefix = prefix
@@ -121,7 +120,6 @@
 
     def _note_answer(self) -> None:
         now = time.monotonic()
-        self.synced_at = now
         if self._lost_at is None:
             return
         lost_seconds = now - self._lost_at
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_placer.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_placer.py
@@ -197,8 +197,8 @@
         order = PlaceOrder(stage.layers, self._fencing)
         fields = {
             "endpoint": entry.id,
-            "layers": f"{stage.layers.first}-{stage.layers.end}",
-            "held": f"{entry.layers.first}-{entry.layers.end}" if entry.layers else "",
+            "layers": str(stage.layers),
+            "held": str(entry.layers or ""),
             "fencing": order.fencing,
         }
         try:
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay.py
@@ -211,7 +211,6 @@
         if self.team is not None and self.team.priority is not None:
             priority = self.team.priority
         return PlaceRequest(
-            self.facts.attempt_id,
             self.pool,
             PathDemand(self.facts.prompt_tokens, self.facts.expected_answer_tokens),
             priority,
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_exchange.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_exchange.py
@@ -1,7 +1,6 @@
 """One attempt of a relayed request at one endpoint."""
 
 import asyncio
-import logging
 import time
 
 from ragwortpaddled.coordination._dispatcher import Target
@@ -12,7 +11,7 @@
     NotSentError,
     ReplyLostError,
 )
-from ragwortpaddled.protocol import Dialect, Forwarding, PathRoute, RequestFacts, ResponseFacts
+from ragwortpaddled.protocol import Dialect, Forwarding, PathRoute, RequestFacts
 from ragwortpaddled.state import EndpointLoads
 from ragwortpaddled.transport import Http1Connection, Http1Pool, RawHeaders, ServerRequest
 
@@ -32,8 +31,6 @@
 
 AT_ONCE_SECONDS = 0.5  # engines wait 2 s for one that is gone before they refuse
 
-logger = logging.getLogger(__name__)
-
 
 class Answer:
     """The head of an endpoint's answer, and its body as it comes."""
@@ -44,11 +41,9 @@
         pool: Http1Pool,
         status: int,
         headers: RawHeaders,
-        facts: ResponseFacts,
     ) -> None:
         self.status = status
         self.headers = [(k, v) for k, v in headers if k not in CONNECTION_HEADERS]
-        self.facts = facts
         self._connection = connection
         self._pool = pool
         self._whole = False
@@ -153,7 +148,7 @@
             raise MaybeRunError(endpoint_id, "the answer is not signed")
         if head.header(b"content-encoding") is not None:
             raise MaybeRunError(endpoint_id, "the answer has a content encoding")
-        return Answer(connection, self.connections, head.status, head.headers, said)
+        return Answer(connection, self.connections, head.status, head.headers)
 
     async def run(self) -> None:
         """Close idle connections in time, for the life of the daemon."""
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_fleet.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_fleet.py
@@ -2,7 +2,6 @@
 
 import logging
 import random
-import time
 from collections import defaultdict
 from collections.abc import Callable
 
@@ -29,7 +28,6 @@
     def __init__(self, platform: Platform, dialect: Dialect, random_source: random.Random) -> None:
         self.config: RelayConfig | None = None
         self.config_value = ""
-        self.adopted_at = 0.0
         self.routes = RouteTable(())
         self.loads = EndpointLoads()
         self.links = LinkLoads()
@@ -79,7 +77,6 @@
             return False
         self.config = config
         self.config_value = value
-        self.adopted_at = time.monotonic()
         self.routes = RouteTable(config.routes)
         fields = {"version": config.version, "routes": len(config.routes)}
         logger.info("configuration adopted", extra={"fields": fields})
@@ -114,7 +111,7 @@
             "address": entry.address,
             "pool": entry.pool,
             "leaving": entry.leaving,
-            "layers": f"{entry.layers.first}-{entry.layers.end}" if entry.layers else "",
+            "layers": str(entry.layers or ""),
         }
         logger.info("endpoint entry", extra={"fields": fields})
         self._notify()
--- a/packages/ragwortpaddled/src/ragwortpaddled/protocol/_platform.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/_platform.py
@@ -3,6 +3,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from typing import Protocol, TypeVar
 from urllib.parse import quote
 
@@ -206,7 +207,7 @@
         after = ""
         while True:
             reply = await self._read(self._dialect.list_objects(prefix, after), purpose)
-            page = _decode(lambda: self._dialect.decode_list(prefix, reply))  # noqa: B023
+            page = _decode(partial(self._dialect.decode_list, prefix, reply))
             objects += page.objects
             after = page.continue_after
             if not after:
@@ -274,7 +275,8 @@
         if reply.status in (200, 201):
             return _decode(lambda: self._dialect.decode_version(reply))
         if reply.status in (404, 409):
-            current = 0 if reply.status == 404 else self._dialect.decode_version(reply)
+            version = partial(self._dialect.decode_version, reply)
+            current = ABSENT if reply.status == 404 else _decode(version)
             raise VersionConflictError(key, current)
         if reply.status == 413:
             raise ValueTooLargeError(key)
--- a/packages/ragwortpaddled/src/ragwortpaddled/protocol/_relay.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/_relay.py
@@ -117,6 +117,9 @@
     def __len__(self) -> int:
         return self.end - self.first
 
+    def __str__(self) -> str:
+        return f"{self.first}-{self.end}"
+
 
 @dataclass(frozen=True, slots=True)
 class EndpointEntry:
--- a/packages/ragwortpaddled/src/ragwortpaddled/state/__init__.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/__init__.py
@@ -6,7 +6,13 @@
 from ragwortpaddled.state._endpoints import Circuit, CircuitState, Endpoint, EndpointTable
 from ragwortpaddled.state._event_split import EventSplitter
 from ragwortpaddled.state._gossip_table import GossipTable
-from ragwortpaddled.state._layer_paths import PathChoice, PathDemand, choose_path, crossing_bits
+from ragwortpaddled.state._layer_paths import (
+    PathChoice,
+    PathDemand,
+    choose_path,
+    covers,
+    crossing_bits,
+)
 from ragwortpaddled.state._link_loads import Link, LinkLoads
 from ragwortpaddled.state._objects import (
     TYPE_BY_KIND,
@@ -109,6 +115,7 @@
     "choose",
     "choose_path",
     "collect",
+    "covers",
     "crossing_bits",
     "decode_object",
     "decode_release",
--- a/packages/ragwortpaddled/src/ragwortpaddled/state/_layer_paths.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/_layer_paths.py
@@ -39,12 +39,11 @@
 
 @dataclass(frozen=True, slots=True)
 class PathChoice:
-    """The best path, or why there is none."""
+    """The best path, without hops where there is none."""
 
     hops: tuple[Hop, ...] = ()
     links: tuple[Link, ...] = ()
     cost_ms: float = 0.0
-    covered: bool = False
     considered: int = 0
 
 
@@ -58,20 +57,42 @@
     avoided: frozenset[str] = frozenset(),
     start_data_centre: str = "",
 ) -> PathChoice:
-    """Return the cheapest path over usable engines.
-
-    ``covered`` tells a fleet that is full from one that lacks some layers.
-    """
+    """Return the cheapest path over usable engines and links with room."""
     now = time.monotonic()
-    holding = [e for e in endpoints if e.layers is not None and not e.leaving]
-    usable = [e for e in holding if e.id not in avoided and not loads.of(e.id).suspect(now)]
+    usable = _usable(endpoints, loads, avoided, now)
     roomy = [e for e in usable if _has_room(model, e, loads.of(e.id), demand, now)]
-    search = _Search(model, loads, links, demand, start_data_centre, now)
-    choice = search.cheapest(roomy)
-    if choice.hops:
-        return choice
-    whole = search.cheapest(usable, full_links=True)
-    return PathChoice(covered=bool(whole.hops), considered=len(usable))
+    return _Search(model, loads, links, demand, start_data_centre, now).cheapest(roomy)
+
+
+def covers(
+    model: LayeredModel,
+    endpoints: Iterable[EndpointEntry],
+    loads: EndpointLoads,
+    links: LinkLoads,
+    demand: PathDemand,
+    *,
+    avoided: frozenset[str] = frozenset(),
+) -> bool:
+    """Tell a fleet that is full from one whose usable engines lack some layers."""
+    now = time.monotonic()
+    search = _Search(model, loads, links, demand, "", now)
+    return bool(search.cheapest(_usable(endpoints, loads, avoided, now), full_links=True).hops)
+
+
+def _usable(
+    endpoints: Iterable[EndpointEntry],
+    loads: EndpointLoads,
+    avoided: frozenset[str],
+    now: float,
+) -> list[EndpointEntry]:
+    return [
+        e
+        for e in endpoints
+        if e.layers is not None
+        and not e.leaving
+        and e.id not in avoided
+        and not loads.of(e.id).suspect(now)
+    ]
 
 
 def _has_room(
@@ -140,7 +161,7 @@
         hops = _hops(last)
         if last is None or len(hops) > MAX_HOPS or len({h.endpoint_id for h in hops}) < len(hops):
             return PathChoice(considered=len(endpoints))
-        return PathChoice(hops, _links(last), last.cost_ms, True, len(endpoints))
+        return PathChoice(hops, _links(last), last.cost_ms, len(endpoints))
 
     def _crossing_ms(
         self, arrival: _Arrival, endpoint: EndpointEntry, *, full_links: bool
--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_client.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_client.py
@@ -9,7 +9,7 @@
 
 from ragwortpaddled.errors import NotSentError, ReplyLostError
 from ragwortpaddled.transport._byte_stream import ByteStream, connect
-from ragwortpaddled.transport._http_client import IDLE_TIMEOUT_SECONDS
+from ragwortpaddled.transport._http_client import IDLE_TIMEOUT_SECONDS, first_value
 
 # Endpoints are a millisecond away; a lost opening packet is sent again only after a second, so
 # another endpoint is the better choice by then.
@@ -26,8 +26,8 @@
     headers: RawHeaders
 
     def header(self, name: bytes) -> bytes | None:
-        """Return the first value of a header, its name in lower case."""
-        return next((value for key, value in self.headers if key == name), None)
+        """Return the first value of a header."""
+        return first_value(self.headers, name)
 
 
 class Http1Connection:
--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_server.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_server.py
@@ -14,6 +14,7 @@
 
 from ragwortpaddled.transport._byte_stream import ByteStream
 from ragwortpaddled.transport._http1_client import RawHeaders
+from ragwortpaddled.transport._http_client import first_value
 
 BACKLOG = 1024  # connections of one burst; the kernel caps it further
 
@@ -40,8 +41,8 @@
     body: bytes
 
     def header(self, name: bytes) -> bytes | None:
-        """Return the first value of a header, its name in lower case."""
-        return next((value for key, value in self.headers if key.lower() == name), None)
+        """Return the first value of a header."""
+        return first_value(self.headers, name)
 
 
 class _RefusedInputError(Exception):
@@ -240,17 +241,21 @@
         self.in_flight = 0
         self.handler = handler
         self.limits = limits
-        self._listen = listen
+        self.address = listen
         self._server: asyncio.Server | None = None
         self._task_by_connection: dict[_ServerConnection, asyncio.Task[None]] = {}
 
     async def start(self) -> None:
-        """Start listening; raises ``OSError`` if the address cannot be bound."""
-        host, _, port = self._listen.rpartition(":")
+        """Start listening; raises ``OSError`` if the address cannot be bound.
+
+        Port 0 lets the system choose; ``address`` then names the port that it chose.
+        """
+        host, _, port = self.address.rpartition(":")
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
             lambda: ByteStream(self._accept), host, int(port), backlog=BACKLOG, reuse_address=True
         )
+        self.address = f"{host}:{self._server.sockets[0].getsockname()[1]}"
 
     def stop_accepting(self) -> None:
         """Close the listener and the idle connections; running requests go on."""
--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_http_client.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_http_client.py
@@ -24,6 +24,12 @@
 Headers = Iterable[tuple[bytes, bytes]]
 
 
+def first_value(headers: Headers, name: bytes) -> bytes | None:
+    """Return the first value of a header, whatever the case of its name."""
+    wanted = name.lower()
+    return next((value for key, value in headers if key.lower() == wanted), None)
+
+
 @dataclass(frozen=True, slots=True)
 class HttpReply:
     """A whole reply."""
@@ -34,11 +40,7 @@
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header."""
-        wanted = name.lower()
-        for key, value in self.headers:
-            if key.lower() == wanted:
-                return value
-        return None
+        return first_value(self.headers, name)
 
 
 class HttpClient:
--- a/packages/standins/src/ragwortpaddle_standins/users_platform.py
+++ b/packages/standins/src/ragwortpaddle_standins/users_platform.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import socket
 from collections import Counter
 from dataclasses import dataclass, field
 from urllib.parse import parse_qs, urlsplit
@@ -16,21 +15,14 @@
 EVENT_SECONDS = 0.005
 STALL_SECONDS = 2.0
 PAUSE_SECONDS = 1.0
+ANY_PORT = "127.0.0.1:0"  # the system chooses; a port chosen before may be taken meanwhile
 JSON = [(b"Content-Type", b"application/json")]
 
 
-def free_address() -> str:
-    """Return an address of loopback whose port was free just now."""
-    with socket.socket() as free:
-        free.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{free.getsockname()[1]}"
-
-
 class Store:
     """The metadata store: kinds, names, one revision, watches."""
 
     def __init__(self) -> None:
-        self.address = free_address()
         self.revision = 1
         self.object_by_key: dict[str, dict] = {}
         self.calls: Counter[str] = Counter()
@@ -39,7 +31,12 @@
         self.history_from = 0
         self._changes: list[tuple[int, str, bool]] = []
         self._changed = asyncio.Event()
-        self._server = Http1Server(self.address, self._handle)
+        self._server = Http1Server(ANY_PORT, self._handle)
+
+    @property
+    def address(self) -> str:
+        """Return the address, once started."""
+        return self._server.address
 
     async def start(self) -> None:
         """Start listening."""
@@ -157,14 +154,18 @@
     zone: str
     slots: int = 6
     kind: str = ""
-    address: str = field(default_factory=free_address)
     layers: tuple[int, int] | None = None
     received: list[ServerRequest] = field(default_factory=list)
     fault: str = ""
     running: int = 0
 
     def __post_init__(self) -> None:
-        self._server = Http1Server(self.address, self._handle)
+        self._server = Http1Server(ANY_PORT, self._handle)
+
+    @property
+    def address(self) -> str:
+        """Return the address, once started."""
+        return self._server.address
 
     async def start(self) -> None:
         """Start listening and register."""
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 from adapter import PlatformDialect, PlatformStoreDialect
-from ragwortpaddle_standins.users_platform import Engine, Service, Store, free_address
+from ragwortpaddle_standins.users_platform import ANY_PORT, Engine, Service, Store
 from ragwortpaddled.relay import RelayDaemon, load_relay_settings
 from ragwortpaddled.transport import Http1Connection, Http1Pool, ResponseHead
 
@@ -76,9 +76,6 @@
             Engine(self.store, f"engine-{i}", "model", "dc-a", 96, "card") for i in range(4)
         ]
         self.desks = [Service(self.store, f"desk-{i}", "desk", "dc-a") for i in range(2)]
-        self.listen = free_address()
-        self.ready_listen = free_address()
-        self.metrics_listen = free_address()
         self.daemon: RelayDaemon | None = None
         self.pool = Http1Pool()
 
@@ -86,10 +83,10 @@
         """Start everything and wait until model requests can be served."""
         await self.store.start()
         self.store.put("config", "main", configuration())
-        for engine in self.engines:
-            engine.join(self.engines)
         for endpoint in (*self.engines, *self.desks):
             await endpoint.start()
+        for engine in self.engines:
+            engine.join(self.engines)
         await self.start_daemon()
         await self.wait(lambda: all(engine.layers for engine in self.engines), "layers")
 
@@ -97,9 +94,9 @@
         """Start the daemon."""
         path = self.directory / "relay.ini"
         path.write_text(
-            f"[relay]\nname = entry-1\ndata_centre = dc-a\nlisten = {self.listen}\n"
-            f"ready_listen = {self.ready_listen}\npeer_listen = {free_address()}\n"
-            f"metrics_listen = {self.metrics_listen}\n[store]\n"
+            f"[relay]\nname = entry-1\ndata_centre = dc-a\nlisten = {ANY_PORT}\n"
+            f"ready_listen = {ANY_PORT}\npeer_listen = {ANY_PORT}\n"
+            f"metrics_listen = {ANY_PORT}\n[store]\n"
             f"url = http://{self.store.address}\n[end]\ngrace_seconds = 4\nbalancer_lag_ms = 300\n"
         )
         settings = load_relay_settings(path)
@@ -126,7 +123,7 @@
         self, method: bytes, path: bytes, attempt: bytes = b"a1", **headers: bytes
     ) -> Http1Connection:
         """Send a caller's request on a connection of its own."""
-        connection = await self.pool.take(self.listen, fresh=True)
+        connection = await self.pool.take(self.daemon.address, fresh=True)
         sent = [
             (b"Host", HOST),
             (b"X-Attempt-Id", attempt),
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -32,7 +32,7 @@
 
 def work(priority: int = 1, patience: float = 1.0) -> PlaceRequest:
     return PlaceRequest(
-        "r", POOL, PathDemand(0, 0), priority, time.monotonic() + patience, time.monotonic() + 20
+        POOL, PathDemand(0, 0), priority, time.monotonic() + patience, time.monotonic() + 20
     )
 
 
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator
 
 import pytest
+from ragwortpaddle_standins.fleet import free_address
 from ragwortpaddled.errors import NotSentError, ReplyLostError
 from ragwortpaddled.transport import (
     CallerLimits,
@@ -19,12 +20,6 @@
 WAIT_SECONDS = 3.0
 
 
-def free_address() -> str:
-    with socket.socket() as free:
-        free.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{free.getsockname()[1]}"
-
-
 class Echo:
     """Answers by path, and notes what became of each request."""
 
@@ -60,10 +55,9 @@
 
 @pytest.fixture
 async def server(echo: Echo) -> AsyncIterator[tuple[Http1Server, str]]:
-    address = free_address()
-    server = Http1Server(address, echo.handle, lambda: LIMITS)
+    server = Http1Server("127.0.0.1:0", echo.handle, lambda: LIMITS)
     await server.start()
-    yield server, address
+    yield server, server.address
     server.stop_accepting()
     server.abort()
 
--- a/tests/test_layer_paths.py
+++ b/tests/test_layer_paths.py
@@ -4,7 +4,14 @@
 from dataclasses import replace
 
 from ragwortpaddled.protocol import EndpointEntry, LayerRange
-from ragwortpaddled.state import EndpointLoads, LinkLoads, PathDemand, choose_path, crossing_bits
+from ragwortpaddled.state import (
+    EndpointLoads,
+    LinkLoads,
+    PathDemand,
+    choose_path,
+    covers,
+    crossing_bits,
+)
 from test_placement import MODEL
 
 DEMAND = PathDemand(760, 75)
@@ -61,17 +68,17 @@
         assert (hops[-1].layers.first, hops[-1].layers.end) == (64, 80)
 
     def test_hole_is_not_covered(self) -> None:
-        choice = choose_path(MODEL, CHAINS[:4], EndpointLoads(), LinkLoads(), DEMAND)
-        assert not choice.hops
-        assert not choice.covered
+        asked = (MODEL, CHAINS[:4], EndpointLoads(), LinkLoads(), DEMAND)
+        assert not choose_path(*asked).hops
+        assert not covers(*asked)
 
     def test_full_fleet_is_covered_but_has_no_path(self) -> None:
         loads = EndpointLoads()
         for name in ("x0", "y0"):
             loads.begin(name, 1e9)
-        choice = choose_path(MODEL, CHAINS, loads, LinkLoads(), DEMAND)
-        assert not choice.hops
-        assert choice.covered
+        asked = (MODEL, CHAINS, loads, LinkLoads(), DEMAND)
+        assert not choose_path(*asked).hops
+        assert covers(*asked)
 
     def test_burst_spreads_over_chains_of_unlike_speed(self) -> None:
         """A burst of 60 requests fills the fast chain first, but not alone."""
@@ -139,9 +146,9 @@
     def test_full_link_is_no_hole(self) -> None:
         links = LinkLoads()
         links.congest(LINK)
-        choice = choose_path(MODEL, SPLIT, EndpointLoads(), links, DEMAND)
-        assert not choice.hops
-        assert choice.covered
+        asked = (MODEL, SPLIT, EndpointLoads(), links, DEMAND)
+        assert not choose_path(*asked).hops
+        assert covers(*asked)
 
     def test_congestion_lasts_longer_each_time_until_a_request_passes(self, monkeypatch) -> None:
         links = LinkLoads()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -196,7 +196,7 @@
 
     async def test_not_ready_at_once(self, fleet: RelayFleet) -> None:
         async def ready() -> int:
-            connection = await fleet.pool.take(fleet.ready_listen)
+            connection = await fleet.pool.take(fleet.daemon.ready_address)
             await connection.send(b"GET", b"/api/readyz", [(b"Host", HOST)], b"")
             return (await connection.read_head()).status
 
