Pass changed entries on to daemons that the store turns away

The daemon that sent late was the lease holder, which the store turned away; peers passed on the configuration but not who leaves. Ruled out: the batch pause of 0.2 s (bound 2 s).

Change: a daemon tells peers up to which revision it knows the endpoints; they answer with the changes above it. A removal keeps its version, so that a lagging peer cannot bring an entry back.

Before: test_relay TestDaemonThatTheStoreTurnsAway fails with the call left out.

--- a/packages/ragwortpaddled/src/ragwortpaddled/_relay_daemon.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/_relay_daemon.py
@@ -97,6 +97,11 @@
         """Return the address for the balancer's probes, once started."""
         return self._ready_server.address
 
+    @property
+    def peers_in_touch(self) -> set[str]:
+        """Return the names of the daemons that answered last time."""
+        return self._peers.in_touch
+
     async def run(self) -> None:
         """Serve until asked to end, then end gracefully."""
         loop = asyncio.get_running_loop()
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_lease.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_lease.py
@@ -56,7 +56,9 @@
         try:
             return await self._keep()
         except PlatformError as error:
-            logger.debug("lease not kept: %s", error)
+            logger.info(
+                "lease not kept", extra={"fields": {"key": self._key, "reason": str(error)}}
+            )
             return self.remaining() > 0
 
     async def give_up(self) -> None:
@@ -80,7 +82,11 @@
         stored = await self._platform.get(self._key, PURPOSE)
         if stored is None:
             return await self._take(LeaseValue("", 0, 0), 0, sent_at)
-        value = msgspec.json.decode(stored.value, type=LeaseValue)
+        try:
+            value = msgspec.json.decode(stored.value, type=LeaseValue)
+        except msgspec.MsgspecError as error:
+            # Without its fencing number no successor could be told from an earlier holder.
+            raise PlatformError(f"{self._key} is malformed: {error}") from error
         if stored.version != self._seen_version:
             # Counted from after the read: the lease may have been renewed while it was under way.
             self._seen_version, self._seen_at = stored.version, time.monotonic()
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_object_follower.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_object_follower.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 from ragwortpaddled.errors import HistoryLostError, PlatformError, ReplyTimeoutError
-from ragwortpaddled.protocol import ObjectList, Platform, StoredObject
+from ragwortpaddled.protocol import ObjectChange, ObjectList, Platform, StoredObject
 
 WATCH_SECONDS = 20.0  # a waiting watch is priced as one call; 30 s is the platform's limit
 RETRY_MIN_SECONDS = 0.1
@@ -16,6 +16,8 @@
 OUTAGE_SECONDS = 1.0  # shorter gaps let no entry lapse
 SILENT_SECONDS = 3.0  # a connection is given up after so long without a sign of its peer
 RETURN_GRACE_SECONDS = 2.5  # living entries are back about 2 s after the store
+# Peers ask several times a second; one that could ask nobody for so long is not in touch.
+RECENT_SECONDS = 10.0
 
 logger = logging.getLogger(__name__)
 
@@ -43,12 +45,41 @@
         self._lost_at: float | None = None
         self._grace_until = 0.0
         self._removal_by_key: dict[str, asyncio.TimerHandle] = {}
+        self._recent_by_key: dict[str, tuple[float, ObjectChange]] = {}
+        self._peer_version = 0
 
     @property
     def in_touch(self) -> bool:
         """Tell whether the last call was answered."""
         return self._lost_at is None
 
+    @property
+    def wants_changes_above(self) -> int:
+        """Return the revision above which peers may know changes that this daemon lacks."""
+        if self.in_touch:
+            return self.revision
+        # A removal may share its version with the last change that was taken.
+        return max(self.revision, self._peer_version) - 1
+
+    def recent_changes(self, above: int) -> list[ObjectChange]:
+        """Return the changes of the last seconds above a revision."""
+        horizon = time.monotonic() - RECENT_SECONDS
+        for key, (at, _) in list(self._recent_by_key.items()):
+            if at < horizon:
+                del self._recent_by_key[key]
+        return [change for _, change in self._recent_by_key.values() if change.version > above]
+
+    def take_peer_changes(self, changes: list[ObjectChange]) -> None:
+        """Take in changes that a peer saw; those that are not news are ignored."""
+        for change in changes:
+            self._peer_version = max(self._peer_version, change.version)
+            if change.value is not None:
+                self._set(StoredObject(change.key, change.version, change.value))
+                continue
+            known = self.object_by_key.get(change.key)
+            if known is not None and known.version < change.version:
+                self._forget(change.key, change.version)
+
     async def run(self) -> None:
         """Follow the platform for the life of the daemon."""
         pause = RETRY_MIN_SECONDS
@@ -93,6 +124,9 @@
             self._remove(key)
 
     def _set(self, stored: StoredObject) -> None:
+        last = self._recent_by_key.get(stored.key)
+        if last is not None and last[1].value is None and last[1].version >= stored.version:
+            return
         pending = self._removal_by_key.pop(stored.key, None)
         if pending is not None:
             pending.cancel()
@@ -100,6 +134,7 @@
         if known is not None and known.version >= stored.version:
             return
         self.object_by_key[stored.key] = stored
+        self._note_change(stored.key, stored.version, stored.value)
         self._on_change(stored.key, stored)
 
     def _remove(self, key: str) -> None:
@@ -108,16 +143,25 @@
             return
         grace = self._grace_until - time.monotonic()
         if grace <= 0:
-            self._forget(key)
+            self._forget(key, self.revision)
             return
         loop = asyncio.get_running_loop()
-        self._removal_by_key[key] = loop.call_later(grace, self._forget, key)
+        self._removal_by_key[key] = loop.call_later(grace, self._forget_lapsed, key)
+
+    def _forget_lapsed(self, key: str) -> None:
+        self._forget(key, self.revision)
 
-    def _forget(self, key: str) -> None:
-        self._removal_by_key.pop(key, None)
+    def _forget(self, key: str, version: int) -> None:
+        pending = self._removal_by_key.pop(key, None)
+        if pending is not None:
+            pending.cancel()
         if self.object_by_key.pop(key, None) is not None:
+            self._note_change(key, version, None)
             self._on_change(key, None)
 
+    def _note_change(self, key: str, version: int, value: str | None) -> None:
+        self._recent_by_key[key] = time.monotonic(), ObjectChange(key, version, value)
+
     def _note_answer(self) -> None:
         now = time.monotonic()
         if self._lost_at is None:
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_placer.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_placer.py
@@ -228,7 +228,12 @@
     stored = await platform.get(PLAN_PREFIX + pool, PURPOSE)
     if stored is None:
         return _Plan(0, [])
-    value = msgspec.json.decode(stored.value, type=_PlanValue)
+    try:
+        value = msgspec.json.decode(stored.value, type=_PlanValue)
+    except msgspec.MsgspecError as error:
+        fields = {"key": stored.key, "reason": str(error)}
+        logger.warning("plan not readable, planned anew", extra={"fields": fields})
+        return _Plan(stored.version, [])
     chains = [
         tuple(Stage(s.engine, LayerRange(s.first, s.end)) for s in chain) for chain in value.chains
     ]
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_fleet.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_fleet.py
@@ -55,6 +55,11 @@
         """Return what follows the platform, to be run by the daemon."""
         return self._config_follower, self._endpoint_follower
 
+    @property
+    def endpoints(self) -> ObjectFollower:
+        """Return what follows the endpoints' entries."""
+        return self._endpoint_follower
+
     @property
     def ready(self) -> bool:
         """Tell whether requests can be routed and their endpoints are known."""
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_peers.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_peers.py
@@ -47,6 +47,10 @@
 logger = logging.getLogger(__name__)
 
 
+class _DaemonEntry(msgspec.Struct, frozen=True):
+    address: str
+
+
 class RelayPeers:
     """The other daemons of the relay."""
 
@@ -66,12 +70,14 @@
         self._placer = placer
         self._name = name
         self._listen = listen
+        self._address = listen
         self._random = random_source
         self._keys = KeyRing()
         self._links = PeerLinks(self._keys)
         self._server: PeerServer | None = None
         self._address_by_name: dict[str, str] = {}
         self._failing: set[str] = set()
+        self._answering: set[str] = set()
         self._version = ABSENT
         self._follower = ObjectFollower(
             platform,
@@ -82,11 +88,17 @@
         )
         self._exchanges: set[asyncio.Task[None]] = set()
 
+    @property
+    def in_touch(self) -> set[str]:
+        """Return the names of the peers that answered last time."""
+        return self._answering
+
     async def run(self) -> None:
         """Register, then swap news for the life of the daemon."""
         await self._retry(self._load_key)
         self._server = PeerServer(self._listen, self._keys, self._handle)
         self._server.start()
+        self._address = self._server.address
         await self._retry(self._register)
         following = asyncio.create_task(self._follower.run())
         try:
@@ -138,7 +150,7 @@
 
     async def _register(self) -> None:
         key = DAEMONS_PREFIX + self._name
-        value = msgspec.json.encode({"address": self._listen}).decode()
+        value = msgspec.json.encode(_DaemonEntry(self._address)).decode()
         try:
             self._version = await self._platform.put(key, value, self._version, PURPOSE)
         except VersionConflictError as error:
@@ -150,10 +162,16 @@
             return
         if stored is None:
             self._address_by_name.pop(name, None)
+            self._answering.discard(name)
             self._forget(name)
         else:
-            value = msgspec.json.decode(stored.value, type=dict[str, str])
-            self._address_by_name[name] = value.get("address", "")
+            try:
+                entry = msgspec.json.decode(stored.value, type=_DaemonEntry)
+            except msgspec.MsgspecError as error:
+                fields = {"key": key, "reason": str(error)}
+                logger.warning("entry of a daemon not readable", extra={"fields": fields})
+                return
+            self._address_by_name[name] = entry.address
         self._budget.daemons = len(self._address_by_name) + 1
 
     def _start_round(self) -> None:
@@ -167,6 +185,7 @@
         try:
             reply = await self._links.request(address, self._news(), EXCHANGE_TIMEOUT_SECONDS)
         except TransportError as error:
+            self._answering.discard(name)
             if name not in self._failing:
                 self._failing.add(name)
                 self._forget(name)
@@ -178,9 +197,11 @@
             logger.info("peer regained", extra={"fields": {"peer": name}})
         if not isinstance(reply, RelayNewsReply):
             return
+        self._answering.add(name)
         self._take_news(reply.news)
         if reply.config:
             self._fleet.adopt(reply.config)
+        self._fleet.endpoints.take_peer_changes(reply.endpoint_changes)
 
     def _forget(self, name: str) -> None:
         self._fleet.loads.forget_peer(name)
@@ -203,6 +224,7 @@
             self._placer.holds_lease,
             self._fleet.loads.own_suspects(),
             [(sorted(link), bits) for link, bits in self._fleet.links.own_bits().items()],
+            self._fleet.endpoints.wants_changes_above,
         )
 
     async def _handle(self, body: bytes) -> bytes:
@@ -212,4 +234,5 @@
         self._take_news(news)
         own = self._news()
         config = self._fleet.config_value if own.config_version > news.config_version else ""
-        return encode_message(RelayNewsReply(own, config))
+        changes = self._fleet.endpoints.recent_changes(news.endpoints_after)
+        return encode_message(RelayNewsReply(own, config, changes))
--- a/packages/ragwortpaddled/src/ragwortpaddled/protocol/__init__.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/__init__.py
@@ -49,6 +49,7 @@
 )
 from ragwortpaddled.protocol._platform import (
     ABSENT,
+    ObjectChange,
     ObjectList,
     Platform,
     StoreCall,
@@ -161,6 +162,7 @@
     "MemberSummary",
     "ModelEntry",
     "ModelList",
+    "ObjectChange",
     "ObjectList",
     "OperationRecord",
     "OperationState",
--- a/packages/ragwortpaddled/src/ragwortpaddled/protocol/_peers.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/_peers.py
@@ -4,6 +4,7 @@
 
 from ragwortpaddled.protocol._gossip import Delta, DigestLine
 from ragwortpaddled.protocol._operations import Change, Judgement
+from ragwortpaddled.protocol._platform import ObjectChange
 
 
 class Digest(msgspec.Struct, frozen=True, tag="digest"):
@@ -65,7 +66,10 @@
 
 
 class RelayNews(msgspec.Struct, frozen=True, tag="relay_news"):
-    """What a relay daemon has in force, and its running requests by endpoint."""
+    """What a relay daemon has in force, and its running requests by endpoint.
+
+    It asks for changes of endpoints above a revision of the store.
+    """
 
     name: str
     config_version: int
@@ -73,13 +77,15 @@
     places_layers: bool = False
     suspects: list[str] = []
     link_bits: list[tuple[list[str], float]] = []
+    endpoints_after: int = 0
 
 
 class RelayNewsReply(msgspec.Struct, frozen=True, tag="relay_news_reply"):
-    """The replier's news, and its configuration where that is newer."""
+    """The replier's news, and what the asker lacks: a newer configuration, later changes."""
 
     news: RelayNews
     config: str
+    endpoint_changes: list[ObjectChange] = []
 
 
 class Acknowledged(msgspec.Struct, frozen=True, tag="acknowledged"):
--- a/packages/ragwortpaddled/src/ragwortpaddled/protocol/_platform.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/_platform.py
@@ -48,6 +48,17 @@
     continue_after: str = ""
 
 
+class ObjectChange(msgspec.Struct, frozen=True):
+    """The last change of an object that a daemon saw; the value is None where it was removed.
+
+    The version of a removal is a revision of the store at which the object was gone.
+    """
+
+    key: str
+    version: int
+    value: str | None
+
+
 class Vm(msgspec.Struct, frozen=True):
     """One entry of the platform's list of VMs."""
 
--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_peer_socket.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_peer_socket.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import secrets
+import socket
 from collections.abc import Awaitable, Callable
 
 import pynng
@@ -32,7 +33,9 @@
         self._keys = keys
         self._handler = handler
         self._socket = pynng.Rep0(recv_max_size=MAX_MESSAGE_BYTES)
-        self._socket.listen(f"tcp://{listen}")
+        listener = self._socket.listen(f"tcp://{listen}")
+        host = listen.rpartition(":")[0]
+        self.address = f"{host}:{socket.ntohs(listener.local_address.port)}"
         self._tasks: list[asyncio.Task[None]] = []
         self._closing = False
 
--- a/packages/standins/src/ragwortpaddle_standins/users_platform.py
+++ b/packages/standins/src/ragwortpaddle_standins/users_platform.py
@@ -31,7 +31,7 @@
         self.history_from = 0
         self._changes: list[tuple[int, str, bool]] = []
         self._changed = asyncio.Event()
-        self._server = Http1Server(ANY_PORT, self._handle)
+        self._server = Http1Server(ANY_PORT, self.handle)
 
     @property
     def address(self) -> str:
@@ -75,7 +75,8 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    async def _handle(self, request: ServerRequest, responder: Responder) -> None:
+    async def handle(self, request: ServerRequest, responder: Responder) -> None:
+        """Answer one call."""
         url = urlsplit(request.target.decode())
         parts = url.path.removeprefix("/api/objects/").split("/")
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
@@ -144,6 +145,40 @@
         return events
 
 
+class StoreDoor:
+    """A second address of a store, which may turn its callers away while the store serves."""
+
+    def __init__(self, store: Store) -> None:
+        self._store = store
+        self._shut = False
+        self._server = Http1Server(ANY_PORT, self._handle)
+
+    @property
+    def address(self) -> str:
+        """Return the address, once started."""
+        return self._server.address
+
+    async def start(self) -> None:
+        """Start listening."""
+        await self._server.start()
+
+    def shut(self) -> None:
+        """Cut every call that waits and answer each further one with 503."""
+        self._shut = True
+        self._server.abort()
+
+    def stop(self) -> None:
+        """Reset every connection and listen no more."""
+        self._server.stop_accepting()
+        self._server.abort()
+
+    async def _handle(self, request: ServerRequest, responder: Responder) -> None:
+        if self._shut:
+            await responder.send(503, [], b"")
+            return
+        await self._store.handle(request, responder)
+
+
 @dataclass
 class Endpoint:
     """What engines and services have in common: an entry, faults, and a record of requests."""
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -87,21 +87,22 @@
             await endpoint.start()
         for engine in self.engines:
             engine.join(self.engines)
-        await self.start_daemon()
+        self.daemon = await self.start_daemon("entry-1", self.store.address)
         await self.wait(lambda: all(engine.layers for engine in self.engines), "layers")
 
-    async def start_daemon(self) -> None:
-        """Start the daemon."""
-        path = self.directory / "relay.ini"
+    async def start_daemon(self, name: str, store_address: str) -> RelayDaemon:
+        """Start a daemon."""
+        path = self.directory / f"{name}.ini"
         path.write_text(
-            f"[relay]\nname = entry-1\ndata_centre = dc-a\nlisten = {ANY_PORT}\n"
+            f"[relay]\nname = {name}\ndata_centre = dc-a\nlisten = {ANY_PORT}\n"
             f"ready_listen = {ANY_PORT}\npeer_listen = {ANY_PORT}\n"
             f"metrics_listen = {ANY_PORT}\n[store]\n"
-            f"url = http://{self.store.address}\n[end]\ngrace_seconds = 4\nbalancer_lag_ms = 300\n"
+            f"url = http://{store_address}\n[end]\ngrace_seconds = 4\nbalancer_lag_ms = 300\n"
         )
         settings = load_relay_settings(path)
-        self.daemon = RelayDaemon(settings, path, PlatformDialect(), PlatformStoreDialect())
-        await self.daemon.start()
+        daemon = RelayDaemon(settings, path, PlatformDialect(), PlatformStoreDialect())
+        await daemon.start()
+        return daemon
 
     async def stop(self) -> None:
         """Stop everything."""
--- a/tests/test_object_follower.py
+++ b/tests/test_object_follower.py
@@ -5,7 +5,7 @@
 
 from ragwortpaddled.coordination import ObjectFollower
 from ragwortpaddled.errors import HistoryLostError, PlatformUnavailableError, ReplyTimeoutError
-from ragwortpaddled.protocol import ObjectList, StoredObject
+from ragwortpaddled.protocol import ObjectChange, ObjectList, StoredObject
 
 
 class ScriptedPlatform:
@@ -95,3 +95,33 @@
         gone = ObjectList(6, [], ["servers/b"])
         _, changes = await follow([BOTH], [PlatformUnavailableError("reset"), gone], 0.5)
         assert ("servers/b", False) in changes
+
+
+class TestChangesOfPeers:
+    async def test_what_a_peer_saw_holds_until_the_store_says_more(self) -> None:
+        follower, changes = await follow([BOTH], [PlatformUnavailableError("busy")], 0.05)
+        follower.take_peer_changes(
+            [ObjectChange("servers/a", 7, '{"leaving": 1}'), ObjectChange("servers/b", 8, None)]
+        )
+        assert follower.object_by_key["servers/a"].version == 7
+        assert ("servers/b", False) in changes
+
+    async def test_older_change_of_a_lagging_peer_is_ignored(self) -> None:
+        follower, _ = await follow([BOTH], [PlatformUnavailableError("busy")], 0.05)
+        follower.take_peer_changes([ObjectChange("servers/b", 8, None)])
+        follower.take_peer_changes([ObjectChange("servers/b", 7, "{}")])
+        follower.take_peer_changes([ObjectChange("servers/a", 1, None)])
+        assert set(follower.object_by_key) == {"servers/a"}
+
+    async def test_out_of_touch_asks_again_for_what_may_share_a_version(self) -> None:
+        follower, _ = await follow([BOTH], [PlatformUnavailableError("busy")], 0.05)
+        assert not follower.in_touch
+        follower.take_peer_changes([ObjectChange("servers/b", 8, "{}")])
+        assert follower.wants_changes_above == 7
+
+    async def test_tells_only_what_changed_above_a_revision(self) -> None:
+        gone = ObjectList(6, [], ["servers/b"])
+        follower, _ = await follow([BOTH], [gone], 0.1)
+        assert follower.recent_changes(5) == [ObjectChange("servers/b", 6, None)]
+        assert not follower.recent_changes(6)
+        assert follower.wants_changes_above == 6
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator
 
 import pytest
+from ragwortpaddle_standins.users_platform import Service, StoreDoor
 from ragwortpaddled.errors import ReplyLostError
 from relay_fleet import HOST, RelayFleet, configuration
 
@@ -169,9 +170,19 @@
     async def test_malformed_objects_disturb_nothing(self, fleet: RelayFleet) -> None:
         fleet.store.put("servers", "stranger", {"service": 7})
         fleet.store.put("config", "main", {"version": "seven"})
+        fleet.store.put("daemons", "stranger", {"address": 7})
         await asyncio.sleep(0.1)
         assert (await fleet.ask(b"GET", b"/look/1"))[0].status == 200
 
+    async def test_malformed_plan_is_made_anew(self, tmp_path) -> None:
+        fleet = RelayFleet(tmp_path)
+        fleet.store.put("placements", "model", {"chains": "none"})
+        await fleet.start()
+        try:
+            assert (await fleet.ask(b"POST", b"/ask/1"))[0].status == 200
+        finally:
+            await fleet.stop()
+
     async def test_change_in_a_lost_history_is_seen(self, fleet: RelayFleet) -> None:
         fleet.store.history_from = fleet.store.revision + 9
         fleet.store.put("config", "main", configuration(5, routes=[]))
@@ -180,6 +191,31 @@
         assert (await fleet.ask(b"GET", b"/look/1"))[0].status == 404
 
 
+class TestDaemonThatTheStoreTurnsAway:
+    async def test_leaving_endpoint_gets_nothing_new(self, fleet: RelayFleet) -> None:
+        door = StoreDoor(fleet.store)
+        await door.start()
+        peer = fleet.daemon
+        fleet.daemon = await fleet.start_daemon("entry-2", door.address)
+        try:
+            await fleet.wait(lambda: len(peer.peers_in_touch) == 1, "a peer of entry-1")
+            await fleet.wait(lambda: len(fleet.daemon.peers_in_touch) == 1, "a peer of entry-2")
+            door.shut()
+            fleet.desks[0].register("draining")
+            fleet.store.remove("servers", fleet.desks[1].id)
+            newcomer = Service(fleet.store, "desk-9", "desk", "dc-a")
+            await newcomer.start()
+            await asyncio.sleep(DRAIN_SECONDS)
+            for number in range(6):
+                head, _ = await fleet.ask(b"GET", b"/look/1", f"s{number}".encode())
+                assert head.status == 200
+            assert not fleet.desks[0].received and not fleet.desks[1].received
+            newcomer.stop()
+        finally:
+            await peer.end()
+            door.stop()
+
+
 class TestEnd:
     async def test_running_stream_is_finished(self, fleet: RelayFleet) -> None:
         for engine in fleet.engines:
