Spread requests that daemons place without knowing of each other; count decode time by need

The search kept one cheapest way to each layer, whatever data centre it ended in, so a path that began with a fast engine elsewhere hid the one beside it, also where the link onward was full. Ruled out: the retry budget (it was spent by the refusals), the first engines' speed (7 % busy).

Change: news older than 2 s are dropped, and requests of daemons not heard of are estimated, placed on the best paths, and reckoned with up to a number drawn at random. The search keeps a way for each data centre. The time to the first event counts in full, the rest by how full the engines are. Watches of endpoints pause by the number of daemons, up to half the platform's bound on leaving (each heartbeat wakes a watch, and calls are priced). The budget of repeated sends rounds by a draw.

--- a/packages/ragwortpaddled/src/ragwortpaddled/_relay_daemon.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/_relay_daemon.py
@@ -52,16 +52,18 @@
         self._text = path.read_text()
         randomness = random.Random()
         self._http = HttpClient()
-        platform = Platform(
+        platform = self._platform = Platform(
             self._http, settings.store.url, settings.store.timeout_ms / 1000, store_dialect
         )
-        self._fleet = RelayFleet(platform, dialect, randomness)
+        leave_seconds = settings.store.leave_ms / 1000
+        self._fleet = RelayFleet(platform, dialect, randomness, leave_seconds)
         self._dispatcher = Dispatcher(self._fleet, section.data_centre, randomness)
         self._exchanger = Exchanger(dialect, self._fleet.loads)
         holder = f"{section.name}/{time.time_ns()}"
         self._placer = Placer(self._fleet, platform, self._http, dialect, holder)
         retry = settings.retry
-        budget = SendBudget(BudgetBounds(retry.ratio, retry.slack, retry.window_seconds))
+        bounds = BudgetBounds(retry.ratio, retry.slack, retry.window_seconds)
+        budget = SendBudget(bounds, randomness)
         self._peers = RelayPeers(
             self._fleet,
             platform,
@@ -97,6 +99,11 @@
         """Return the address for the balancer's probes, once started."""
         return self._ready_server.address
 
+    @property
+    def metrics_address(self) -> str:
+        """Return the address of the metrics, once started."""
+        return self._metrics_server.address
+
     @property
     def peers_in_touch(self) -> set[str]:
         """Return the names of the daemons that answered last time."""
@@ -166,7 +173,11 @@
             logger.warning("the lease and the entry could not be given up in time")
         self._exchanger.connections.close()
         await self._http.close()
-        logger.info("ended", extra={"fields": {"ms": int((time.monotonic() - began) * 1000)}})
+        ended: dict[str, object] = {
+            "ms": int((time.monotonic() - began) * 1000),
+            "platform_calls": self._platform.calls_by_purpose,
+        }
+        logger.info("ended", extra={"fields": ended})
 
     def _limits(self) -> CallerLimits:
         config = self._fleet.config
--- a/packages/ragwortpaddled/src/ragwortpaddled/_relay_settings.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/_relay_settings.py
@@ -36,6 +36,7 @@
 
     url: Annotated[str, Field(pattern=r"^https?://[^/]+$")]
     timeout_ms: Milliseconds = 1000  # answers take 4 ms; a slow store takes up to 400 ms
+    leave_ms: Milliseconds = 2000  # within which an endpoint that leaves must get nothing new
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_dispatcher.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_dispatcher.py
@@ -11,16 +11,19 @@
 import random
 import time
 from collections import defaultdict, deque
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from ragwortpaddled.coordination._relay_fleet import RelayFleet
 from ragwortpaddled.errors import RefusedError
 from ragwortpaddled.protocol import EndpointEntry, Hop, RelayPool
 from ragwortpaddled.state import (
+    NOTHING_UNSEEN,
     EndpointLoads,
     Link,
     PathChoice,
     PathDemand,
+    UnseenLoads,
     choose_path,
     covers,
     crossing_bits,
@@ -61,6 +64,7 @@
     links: tuple[Link, ...] = ()
     cost_ms: float = 0.0
     considered: int = 1
+    pool: str = ""
     waited_seconds: float = 0.0
     _held: bool = field(default=False)
 
@@ -79,6 +83,7 @@
     def hold(self) -> None:
         """Count the request at its endpoints."""
         self._held = True
+        self.loads.own_requests_by_pool[self.pool] += 1
         for endpoint_id in self.ids:
             self.loads.begin(endpoint_id, self.tokens)
 
@@ -87,6 +92,7 @@
         if not self._held:
             return
         self._held = False
+        self.loads.own_requests_by_pool[self.pool] -= 1
         for endpoint_id in self.ids:
             self.loads.end(endpoint_id, self.tokens)
 
@@ -109,7 +115,12 @@
         self._numbers = itertools.count()
         self._waiters_by_pool: defaultdict[str, list[_Waiter]] = defaultdict(list)
         self._grants_by_pool: defaultdict[str, deque[float]] = defaultdict(deque)
-        fleet.on_change(self.wake)
+        self._unseen = UnseenLoads(random_source)
+        fleet.on_change(self._note_change)
+
+    def _note_change(self) -> None:
+        self._unseen.clear()
+        self.wake()
 
     def waiting(self, pool: str) -> int:
         """Return the requests that wait for a pool."""
@@ -191,13 +202,24 @@
         choose = self._try_path if work.pool.model is not None else self._try_endpoint
         target = choose(work)
         if target is not None:
+            target.pool = work.pool.name
             target.hold()
             self._grants_by_pool[work.pool.name].append(time.monotonic())
         return target
 
     def _try_path(self, work: PlaceRequest) -> Target | None:
         assert work.pool.model is not None
-        choice = self._choose_path(work)
+        pool = work.pool
+        choice = self._choose_path(
+            work,
+            self._unseen.draw(
+                pool.name,
+                work.pool.model,
+                self._fleet.in_pool(pool.name),
+                self._fleet.loads,
+                self._fleet.links,
+            ),
+        )
         if not choice.hops:
             return None
         entry = self._fleet.entry_by_id[choice.hops[0].endpoint_id]
@@ -213,7 +235,9 @@
             choice.considered,
         )
 
-    def _choose_path(self, work: PlaceRequest) -> PathChoice:
+    def _choose_path(
+        self, work: PlaceRequest, unseen_by_id: Mapping[str, float] = NOTHING_UNSEEN
+    ) -> PathChoice:
         assert work.pool.model is not None
         return choose_path(
             work.pool.model,
@@ -222,7 +246,7 @@
             self._fleet.links,
             work.demand,
             avoided=work.avoided,
-            start_data_centre=self._data_centre,
+            unseen_by_id=unseen_by_id,
         )
 
     def _try_endpoint(self, work: PlaceRequest) -> Target | None:
@@ -234,7 +258,8 @@
             if not e.leaving and e.id not in work.avoided
         ]
         sound = [e for e in usable if not loads.of(e.id).suspect(now)] or usable
-        free = [e for e in sound if loads.of(e.id).running(now) < e.slots]
+        unseen = loads.unseen_requests(work.pool.name) / max(1, len(sound))
+        free = [e for e in sound if loads.of(e.id).running(now) + unseen < e.slots]
         if not free:
             return None
 
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_object_follower.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_object_follower.py
@@ -37,11 +37,11 @@
         self.object_by_key: dict[str, StoredObject] = {}
         self.revision = 0
         self.listed = asyncio.Event()
+        self.batch_seconds = batch_seconds
         self._platform = platform
         self._prefix = prefix
         self._on_change = on_change
         self._random = random_source
-        self._batch_seconds = batch_seconds
         self._lost_at: float | None = None
         self._grace_until = 0.0
         self._removal_by_key: dict[str, asyncio.TimerHandle] = {}
@@ -97,7 +97,7 @@
                 pause = RETRY_MIN_SECONDS
                 if changes.objects or changes.removed:
                     # Each call is priced, and entries change in flocks.
-                    await asyncio.sleep(self._batch_seconds)
+                    await asyncio.sleep(self.batch_seconds)
             except HistoryLostError:
                 logger.info("history lost", extra={"fields": {"prefix": self._prefix}})
                 must_list = True
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay.py
@@ -98,6 +98,7 @@
             raise
         finally:
             telemetry.requests.add(1, {"outcome": outcome})
+            telemetry.request_seconds.record(time.monotonic() - began, {"outcome": outcome})
 
     async def _serve(
         self, request: ServerRequest, facts: RequestFacts, responder: Responder, began: float
@@ -183,8 +184,10 @@
                     raise
                 return await self._fail(502, refusal.reason)
             sends += 1
+            telemetry.place_wait_seconds.record(target.waited_seconds, {"pool": self.pool.name})
             try:
                 await self._attempt(target)
+                telemetry.attempts.add(1, {"result": "answered"})
                 return "served"
             except NotRunError as error:
                 self._note_failure(error, target)
@@ -275,6 +278,7 @@
                 break
             events = self._splitter.feed(data)
             if events and not self.responder.started:
+                telemetry.first_event_seconds.record(time.monotonic() - self.began)
                 await self.responder.start(answer.status, answer.headers)
             await self.responder.write(events)
         if self._splitter.torn:
@@ -341,6 +345,7 @@
             self._avoided.add(error.endpoint)
             blamed = isinstance(error, StalledError | NotRunError) and bool(target.path)
             seconds = target.loads.fail(error.endpoint, blamed=blamed)
+        telemetry.attempts.add(1, {"result": type(error).__name__})
         _note(
             self.facts,
             "attempt failed",
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_fleet.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_fleet.py
@@ -16,8 +16,12 @@
 )
 from ragwortpaddled.state import EndpointLoads, LinkLoads, RouteTable
 
-# A tenth of the time within which a leaving endpoint must get nothing new.
-ENDPOINT_BATCH_SECONDS = 0.2
+# Of the time within which a leaving endpoint must get nothing new: the pause between watches of a
+# few daemons, and that of many.
+MIN_PAUSE_SHARE = 0.1
+MAX_PAUSE_SHARE = 0.5
+# Of all daemons together. Heartbeats change entries without a pause, and each call is priced.
+ENDPOINT_WATCHES_PER_SECOND = 45.0
 
 logger = logging.getLogger(__name__)
 
@@ -25,7 +29,13 @@
 class RelayFleet:
     """The configuration, which never goes back, and the endpoints by pool."""
 
-    def __init__(self, platform: Platform, dialect: Dialect, random_source: random.Random) -> None:
+    def __init__(
+        self,
+        platform: Platform,
+        dialect: Dialect,
+        random_source: random.Random,
+        leave_seconds: float,
+    ) -> None:
         self.config: RelayConfig | None = None
         self.config_value = ""
         self.routes = RouteTable(())
@@ -34,6 +44,7 @@
         self.entry_by_id: dict[str, EndpointEntry] = {}
         self._ids_by_pool: defaultdict[str, set[str]] = defaultdict(set)
         self._dialect = dialect
+        self._leave_seconds = leave_seconds
         self._listeners: list[Callable[[], None]] = []
         config_prefix = dialect.config_key.rpartition("/")[0] + "/"
         self._config_follower = ObjectFollower(
@@ -44,7 +55,7 @@
             dialect.endpoints_prefix,
             self._take_endpoint,
             random_source,
-            batch_seconds=ENDPOINT_BATCH_SECONDS,
+            batch_seconds=leave_seconds * MIN_PAUSE_SHARE,
         )
 
     def on_change(self, listener: Callable[[], None]) -> None:
@@ -60,6 +71,16 @@
         """Return what follows the endpoints' entries."""
         return self._endpoint_follower
 
+    def share_watches(self, daemons: int, *, at_once: bool) -> None:
+        """Pause between watches of the endpoints by the number of daemons that make them.
+
+        Peers pass changes on meanwhile. Who places layers must see each change at once.
+        """
+        least = self._leave_seconds * MIN_PAUSE_SHARE
+        most = least if at_once else self._leave_seconds * MAX_PAUSE_SHARE
+        seconds = min(max(least, daemons / ENDPOINT_WATCHES_PER_SECOND), most)
+        self._endpoint_follower.batch_seconds = seconds
+
     @property
     def ready(self) -> bool:
         """Tell whether requests can be routed and their endpoints are known."""
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_peers.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_peers.py
@@ -104,6 +104,9 @@
         try:
             while True:
                 await asyncio.sleep(ROUND_SECONDS * self._random.uniform(0.8, 1.2))
+                self._fleet.share_watches(
+                    self._fleet.loads.daemons, at_once=self._placer.holds_lease
+                )
                 self._start_round()
         finally:
             following.cancel()
@@ -172,7 +175,11 @@
                 logger.warning("entry of a daemon not readable", extra={"fields": fields})
                 return
             self._address_by_name[name] = entry.address
+        self._count_daemons()
+
+    def _count_daemons(self) -> None:
         self._budget.daemons = len(self._address_by_name) + 1
+        self._fleet.loads.daemons = len(set(self._address_by_name) - self._failing) + 1
 
     def _start_round(self) -> None:
         names = sorted(self._address_by_name)
@@ -188,12 +195,14 @@
             self._answering.discard(name)
             if name not in self._failing:
                 self._failing.add(name)
+                self._count_daemons()
                 self._forget(name)
                 fields = {"peer": name, "reason": str(error)}
                 logger.warning("peer lost", extra={"fields": fields})
             return
         if name in self._failing:
             self._failing.discard(name)
+            self._count_daemons()
             logger.info("peer regained", extra={"fields": {"peer": name}})
         if not isinstance(reply, RelayNewsReply):
             return
@@ -208,7 +217,7 @@
         self._fleet.links.take_peer(name, {})
 
     def _take_news(self, news: RelayNews) -> None:
-        self._fleet.loads.take_peer(news.name, news.running, news.suspects)
+        self._fleet.loads.take_peer(news.name, news.running, news.suspects, news.requests_by_pool)
         self._fleet.links.take_peer(
             news.name, {frozenset(link): bits for link, bits in news.link_bits}
         )
@@ -225,6 +234,7 @@
             self._fleet.loads.own_suspects(),
             [(sorted(link), bits) for link, bits in self._fleet.links.own_bits().items()],
             self._fleet.endpoints.wants_changes_above,
+            dict(self._fleet.loads.own_requests_by_pool),
         )
 
     async def _handle(self, body: bytes) -> bytes:
--- a/packages/ragwortpaddled/src/ragwortpaddled/protocol/_peers.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/_peers.py
@@ -78,6 +78,7 @@
     suspects: list[str] = []
     link_bits: list[tuple[list[str], float]] = []
     endpoints_after: int = 0
+    requests_by_pool: dict[str, int] = {}
 
 
 class RelayNewsReply(msgspec.Struct, frozen=True, tag="relay_news_reply"):
--- a/packages/ragwortpaddled/src/ragwortpaddled/protocol/_platform.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/_platform.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from ragwortpaddled import telemetry
 from ragwortpaddled.errors import (
     HistoryLostError,
     NotSentError,
@@ -245,6 +246,7 @@
 
     async def _read(self, call: StoreCall, purpose: str, wait_seconds: float = 0.0) -> HttpReply:
         self._count(purpose)
+        result = "no answer"
         try:
             with tracer.start_as_current_span(f"platform {purpose}"):
                 reply = await self._http.exchange(
@@ -253,8 +255,11 @@
                     headers=[(b"Call-Purpose", purpose.encode()), *trace_headers()],
                     timeout_seconds=self._timeout_seconds + wait_seconds,
                 )
+            result = str(reply.status)
         except (NotSentError, ReplyLostError) as error:
             raise PlatformUnavailableError(str(error)) from error
+        finally:
+            telemetry.platform_calls.add(1, {"purpose": purpose, "result": result})
         if reply.status >= 500 or reply.status == 429:
             raise PlatformUnavailableError(f"{call.path}: status {reply.status}")
         self.answered_at = time.monotonic()
@@ -266,6 +271,7 @@
 
     async def _write(self, key: str, call: StoreCall, purpose: str) -> int:
         self._count(purpose)
+        result = "no answer"
         try:
             with tracer.start_as_current_span(f"platform {purpose}"):
                 reply = await self._http.exchange(
@@ -279,10 +285,13 @@
                     ],
                     timeout_seconds=self._timeout_seconds,
                 )
+            result = str(reply.status)
         except NotSentError as error:
             raise PlatformUnavailableError(str(error)) from error
         except ReplyLostError as error:
             raise WriteOutcomeUnknownError(str(error)) from error
+        finally:
+            telemetry.platform_calls.add(1, {"purpose": purpose, "result": result})
         if reply.status in (200, 201):
             return _decode(lambda: self._dialect.decode_version(reply))
         if reply.status in (404, 409):
--- a/packages/ragwortpaddled/src/ragwortpaddled/state/__init__.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/__init__.py
@@ -7,6 +7,7 @@
 from ragwortpaddled.state._event_split import EventSplitter
 from ragwortpaddled.state._gossip_table import GossipTable
 from ragwortpaddled.state._layer_paths import (
+    NOTHING_UNSEEN,
     PathChoice,
     PathDemand,
     choose_path,
@@ -69,11 +70,13 @@
     new_segment_key,
 )
 from ragwortpaddled.state._shares import Claim, divide, own_part
+from ragwortpaddled.state._unseen_loads import UnseenLoads
 
 __all__ = [
     "HISTORY_PREFIX",
     "MAX_KEY_BYTES",
     "MAX_RECORDED_BODY_BYTES",
+    "NOTHING_UNSEEN",
     "OBJECTS_PREFIX",
     "RELEASE_KEY",
     "SEAL_BYTES",
@@ -111,6 +114,7 @@
     "ShardHead",
     "Stage",
     "Team",
+    "UnseenLoads",
     "check_objects",
     "choose",
     "choose_path",
--- a/packages/ragwortpaddled/src/ragwortpaddled/state/_endpoint_loads.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/_endpoint_loads.py
@@ -6,6 +6,8 @@
 """
 
 import time
+from collections import Counter
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 FULL_SECONDS = 0.15  # an engine that was full has room again after some steps
@@ -15,6 +17,8 @@
 BLAMED_SECONDS = 4.0
 MAX_SUSPECT_SECONDS = 4.0
 SUSPECTING_PEERS = 2  # one daemon alone may have lost its own path to an endpoint
+# News of a peer says little about its requests after the usual length of a generation.
+NEWS_SECONDS = 2.0
 STATED_SECONDS = 2.0  # a stated load says little after the usual length of a generation
 
 
@@ -52,13 +56,23 @@
         return own + self.suspecting_peers >= SUSPECTING_PEERS
 
 
+@dataclass(slots=True)
+class _PeerNews:
+    heard_at: float
+    running_by_id: Mapping[str, int]
+    requests_by_pool: Mapping[str, int]
+    suspects: list[str]
+
+
 class EndpointLoads:
     """The loads by endpoint id."""
 
     def __init__(self) -> None:
         self.by_id: dict[str, EndpointLoad] = {}
-        self._running_by_peer: dict[str, dict[str, int]] = {}
-        self._suspects_by_peer: dict[str, list[str]] = {}
+        self.daemons = 1
+        self.own_requests_by_pool: Counter[str] = Counter()
+        # In the order in which they were heard.
+        self._news_by_peer: dict[str, _PeerNews] = {}
 
     def own_running(self) -> dict[str, int]:
         """Return the own running requests by endpoint."""
@@ -69,23 +83,49 @@
         now = time.monotonic()
         return [i for i, load in self.by_id.items() if load.blamed and now < load.suspect_until]
 
-    def take_peer(self, name: str, running: dict[str, int], suspects: list[str]) -> None:
+    def take_peer(
+        self,
+        name: str,
+        running_by_id: Mapping[str, int],
+        suspects: list[str],
+        requests_by_pool: Mapping[str, int] | None = None,
+    ) -> None:
         """Take in the running requests and the suspicions of another daemon."""
-        for endpoint_id in self._suspects_by_peer.get(name, ()):
-            self.of(endpoint_id).suspecting_peers -= 1
+        self.forget_peer(name)
         for endpoint_id in suspects:
             self.of(endpoint_id).suspecting_peers += 1
-        self._suspects_by_peer[name] = suspects
-        for endpoint_id, count in self._running_by_peer.get(name, {}).items():
-            self.of(endpoint_id).peers -= count
-        for endpoint_id, count in running.items():
+        for endpoint_id, count in running_by_id.items():
             self.of(endpoint_id).peers += count
-        self._running_by_peer[name] = running
+        self._news_by_peer[name] = _PeerNews(
+            time.monotonic(), running_by_id, requests_by_pool or {}, suspects
+        )
 
     def forget_peer(self, name: str) -> None:
-        """Drop what another daemon said, since it cannot be reached."""
-        self.take_peer(name, {}, [])
-        del self._running_by_peer[name], self._suspects_by_peer[name]
+        """Drop what another daemon said."""
+        news = self._news_by_peer.pop(name, None)
+        if news is None:
+            return
+        for endpoint_id in news.suspects:
+            self.of(endpoint_id).suspecting_peers -= 1
+        for endpoint_id, count in news.running_by_id.items():
+            self.of(endpoint_id).peers -= count
+
+    def unseen_requests(self, pool: str) -> float:
+        """Estimate the requests of a pool at daemons that were not heard of lately."""
+        self._drop_old_news()
+        counts = [news.requests_by_pool.get(pool, 0) for news in self._news_by_peer.values()]
+        heard = len(counts) + 1
+        # The request for which this is asked counts too: where one came, others have come.
+        mean = (sum(counts) + self.own_requests_by_pool[pool] + 1) / (heard + 1)
+        return mean * max(0, self.daemons - heard)
+
+    def _drop_old_news(self) -> None:
+        horizon = time.monotonic() - NEWS_SECONDS
+        while self._news_by_peer:
+            name = next(iter(self._news_by_peer))
+            if self._news_by_peer[name].heard_at >= horizon:
+                return
+            self.forget_peer(name)
 
     def of(self, endpoint_id: str) -> EndpointLoad:
         """Return the load of an endpoint, which may not have been used yet."""
--- a/packages/ragwortpaddled/src/ragwortpaddled/state/_send_budget.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/_send_budget.py
@@ -4,6 +4,7 @@
 takes its share of the fixed part, and the part that grows with the requests it has seen itself.
 """
 
+import random
 import time
 from collections import defaultdict, deque
 from dataclasses import dataclass
@@ -23,8 +24,11 @@
 class SendBudget:
     """The repeated sends of one daemon by pool."""
 
-    def __init__(self, bounds: BudgetBounds) -> None:
+    def __init__(self, bounds: BudgetBounds, random_source: random.Random) -> None:
         self.bounds = bounds
+        # Where many daemons share a budget, whole sends of each would leave most of it unused. So
+        # each may round its own part up, as often as keeps the sum.
+        self._least_left = random_source.random()
         self.daemons = 1
         self._requests_by_pool: defaultdict[str, deque[float]] = defaultdict(deque)
         self._repeats_by_pool: defaultdict[str, deque[float]] = defaultdict(deque)
@@ -43,7 +47,7 @@
 
     def spend(self, pool: str) -> bool:
         """Take a repeated send if there is one."""
-        if self.left(pool) < 1.0:
+        if self.left(pool) < self._least_left:
             return False
         self._repeats_by_pool[pool].append(time.monotonic())
         return True
--- a/packages/ragwortpaddled/src/ragwortpaddled/telemetry.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/telemetry.py
@@ -48,6 +48,32 @@
 dropped_log_lines = _meter.create_counter(
     "ragwortpaddle_dropped_log_lines", description="Log lines that a full queue could not take"
 )
+# Of ten buckets a factor of two apart: from a plain answer nearby to a caller's longest wait.
+SECONDS_BUCKETS = [0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8, 25.6]
+request_seconds = _meter.create_histogram(
+    "ragwortpaddle_request",
+    unit="s",
+    description="Time from a request's arrival to the end of its answer, by outcome",
+    explicit_bucket_boundaries_advisory=SECONDS_BUCKETS,
+)
+first_event_seconds = _meter.create_histogram(
+    "ragwortpaddle_first_event",
+    unit="s",
+    description="Time from a request's arrival to the first event of its stream",
+    explicit_bucket_boundaries_advisory=SECONDS_BUCKETS,
+)
+place_wait_seconds = _meter.create_histogram(
+    "ragwortpaddle_place_wait",
+    unit="s",
+    description="Time that a request waited for a place, by pool",
+    explicit_bucket_boundaries_advisory=SECONDS_BUCKETS,
+)
+attempts = _meter.create_counter(
+    "ragwortpaddle_attempts", description="Attempts at endpoints by result"
+)
+platform_calls = _meter.create_counter(
+    "ragwortpaddle_platform_calls", description="Calls to the platform by purpose and result"
+)
 cut_requests = _meter.create_counter(
     "ragwortpaddle_cut_requests", description="Requests cut off by the shutdown bound"
 )
--- a/tests/test_layer_paths.py
+++ b/tests/test_layer_paths.py
@@ -1,6 +1,8 @@
 """Paths over layers: every layer once, around full and suspect engines."""
 
+import random
 import time
+from collections import Counter
 from dataclasses import replace
 
 from ragwortpaddled.protocol import EndpointEntry, LayerRange
@@ -8,9 +10,11 @@
     EndpointLoads,
     LinkLoads,
     PathDemand,
+    UnseenLoads,
     choose_path,
     covers,
     crossing_bits,
+    token_capacity,
 )
 from test_placement import MODEL
 
@@ -160,3 +164,83 @@
         clock[0] += 10
         links.pass_on(LINK)
         assert links.congest(LINK) == first
+
+
+class TestCrossing:
+    """A fast engine in another data centre, and a slow one beside the rest of the path."""
+
+    FLEET = (
+        entry("slow", 0, 10, "middle", where="a"),
+        entry("fast", 0, 10, "large", where="b"),
+        *(entry(f"y{i}", i * 10, i * 10 + 10, "middle") for i in range(1, 8)),
+    )
+
+    def first(self, running: int) -> str:
+        loads = EndpointLoads()
+        for name in ("slow", "fast", *(f"y{i}" for i in range(1, 8))):
+            for _ in range(running):
+                loads.begin(name, DEMAND.mean_tokens)
+        return ids(choose_path(MODEL, self.FLEET, loads, LinkLoads(), DEMAND))[0]
+
+    def test_is_not_worth_it_while_engines_are_empty(self) -> None:
+        assert self.first(running=0) == "slow"
+
+    def test_is_worth_it_where_memory_is_short(self) -> None:
+        assert self.first(running=30) == "fast"
+
+
+class TestFullLinks:
+    def test_way_without_the_link_is_found_though_it_begins_slower(self) -> None:
+        rest = [entry(f"y{i}", i * 10, i * 10 + 10, "middle") for i in range(1, 8)]
+        fleet = [entry("slow", 0, 10, "middle"), entry("fast", 0, 10, "large", where="b"), *rest]
+        links = LinkLoads()
+        links.congest(frozenset(("a", "b")))
+        choice = choose_path(MODEL, fleet, EndpointLoads(), links, DEMAND)
+        assert ids(choice)[0] == "slow"
+
+
+class TestUnseenLoads:
+    """Ninety daemons that each hold a request and hear of few others."""
+
+    DAEMONS = 90
+
+    def one_of_many(self, running: int) -> EndpointLoads:
+        loads = EndpointLoads()
+        loads.daemons = self.DAEMONS
+        loads.own_requests_by_pool["model"] = running
+        return loads
+
+    def spread(self, running: int) -> Counter[str]:
+        """Return the first engines that as many daemons choose on their own."""
+        chosen: Counter[str] = Counter()
+        for number in range(self.DAEMONS):
+            loads, links = self.one_of_many(running), LinkLoads()
+            unseen = UnseenLoads(random.Random(number)).draw("model", MODEL, CHAINS, loads, links)
+            hops = choose_path(MODEL, CHAINS, loads, links, DEMAND, unseen_by_id=unseen).hops
+            chosen[hops[0].endpoint_id if hops else ""] += 1
+        return chosen
+
+    def test_no_path_is_chosen_beyond_its_memory(self) -> None:
+        chosen = self.spread(running=1)
+        for engine, kind in (("x0", "large"), ("y0", "middle")):
+            held = next(e for e in CHAINS if e.id == engine).layers
+            tokens = token_capacity(MODEL, MODEL.kind_by_name[kind], len(held))
+            assert chosen[engine] * DEMAND.mean_tokens <= tokens
+        assert chosen["x0"] > 0 and chosen["y0"] > 0
+
+    def test_first_request_after_a_calm_reckons_with_others(self) -> None:
+        assert self.one_of_many(running=0).unseen_requests("model") > self.DAEMONS / 4
+
+    def test_idle_daemons_choose_the_fast_engines(self) -> None:
+        loads, links = self.one_of_many(running=0), LinkLoads()
+        for number in range(20):
+            loads.take_peer(f"entry-{number}", {}, [], {})
+        unseen = UnseenLoads(random.Random(1)).draw("model", MODEL, CHAINS, loads, links)
+        assert ids(choose_path(MODEL, CHAINS, loads, links, DEMAND, unseen_by_id=unseen))[0] == "x0"
+
+    def test_peers_that_were_heard_of_are_counted_where_they_are(self) -> None:
+        loads = self.one_of_many(running=0)
+        for number in range(self.DAEMONS - 1):
+            loads.take_peer(f"entry-{number}", {"x0": 1}, [], {"model": 1})
+        assert loads.unseen_requests("model") == 0
+        assert loads.of("x0").peers == self.DAEMONS - 1
