--- a/Makefile
+++ b/Makefile
@@ -22,8 +22,8 @@
 	$(PYTHON) -m pytest -q -n 3 --dist loadfile
 
 lint: $(VENV)/installed
-	$(PYTHON) -m black -q --check packages tests bench platform
-	$(PYTHON) -m ruff check -q packages tests bench platform
+	$(PYTHON) -m black -q --check packages tests bench platform soak
+	$(PYTHON) -m ruff check -q packages tests bench platform soak
 	$(PYTHON) -m mypy
 
 clean:
--- a/packages/standins/src/ragwortpaddle_standins/users_platform.py
+++ b/packages/standins/src/ragwortpaddle_standins/users_platform.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import time
 from collections import Counter
 from dataclasses import dataclass, field
 from urllib.parse import parse_qs, urlsplit
@@ -17,6 +18,59 @@
 PAUSE_SECONDS = 1.0
 ANY_PORT = "127.0.0.1:0"  # the system chooses; a port chosen before may be taken meanwhile
 JSON = [(b"Content-Type", b"application/json")]
+HOST = b"desk.example"
+KEY = b"key-of-bench"
+LAYERS = 8
+
+
+def configuration(version: int = 1, **changes: object) -> dict:
+    """Return a configuration with a streaming, a safe and an unsafe route."""
+
+    def route(name: str, kind: str, service: str, **more: object) -> dict:
+        return {
+            "name": name,
+            "host": HOST.decode(),
+            "pathPrefix": f"/{name}/",
+            "kind": kind,
+            "timeoutMs": 4000,
+            "targetLatencyMs": 500,
+            "priority": 1,
+            "service": service,
+            "maxAttempts": 2,
+            "public": False,
+            **more,
+        }
+
+    engine = {
+        "slots": 96,
+        "kvTokenBytes": 800000,
+        "layers": LAYERS,
+        "layerMb": 1000.0,
+        "step_ms": 0.85,
+        "per_seq_ms": 0.005,
+        "context_per_k": 0.007,
+        "read_per_s": 272000.0,
+        "usual": {"prompt": 700, "answer": 100},
+        "activationBytes": 40000,
+        "pipeMbps": 6500.0,
+        "kinds": [{"name": "card", "mb": 8000.0, "pace": 3.0, "readX": 3.0}],
+    }
+    return {
+        "version": version,
+        "routes": [
+            route("ask", "streaming", "model", resumable=True, targetGapMs=200, sticky=True),
+            route("once", "streaming", "model", resumable=False, targetGapMs=200),
+            route("look", "safe", "desk"),
+            route("book", "unsafe", "desk"),
+        ],
+        "services": [
+            {"name": "model", "maxConns": 100, "engine": engine},
+            {"name": "desk", "maxConns": 100},
+        ],
+        "limits": {"idleTimeoutMs": 5000},
+        "tenants": [{"name": "bench-team", "apiKeys": [KEY.decode()], "priority": 1}],
+        **changes,
+    }
 
 
 class Store:
@@ -167,6 +221,10 @@
         self._shut = True
         self._server.abort()
 
+    def open(self) -> None:
+        """Let callers in again."""
+        self._shut = False
+
     def stop(self) -> None:
         """Reset every connection and listen no more."""
         self._server.stop_accepting()
@@ -191,6 +249,9 @@
     kind: str = ""
     layers: tuple[int, int] | None = None
     received: list[ServerRequest] = field(default_factory=list)
+    received_at: list[float] = field(default_factory=list)  # seconds on the monotonic clock
+    left_at: float | None = None
+    public_address: str = ""
     fault: str = ""
     running: int = 0
 
@@ -211,7 +272,7 @@
         """Write the entry."""
         spec = {
             "service": self.service,
-            "address": self.address,
+            "address": self.public_address or self.address,
             "zone": self.zone,
             "slots": self.slots,
             "state": state,
@@ -221,6 +282,13 @@
         if self.layers:
             spec["layers"] = {"from": self.layers[0], "target": self.layers[1], "version": 1}
         self.store.put("servers", self.id, spec)
+        if state != "ready":
+            self.left_at = time.monotonic()
+
+    def remove(self) -> None:
+        """Take the entry out of the store."""
+        self.store.remove("servers", self.id)
+        self.left_at = self.left_at or time.monotonic()
 
     def stop(self) -> None:
         """Reset every connection and listen no more."""
@@ -235,6 +303,10 @@
     async def _handle(self, request: ServerRequest, responder: Responder) -> None:
         raise NotImplementedError
 
+    def _note(self, request: ServerRequest) -> None:
+        self.received.append(request)
+        self.received_at.append(time.monotonic())
+
     def _headers(self, request: ServerRequest) -> list[tuple[bytes, bytes]]:
         return [
             (b"X-Attempt-Id", request.header(b"x-attempt-id") or b""),
@@ -250,7 +322,7 @@
         if self.fault == "full":
             await responder.send(503, [(b"X-Not-Executed", b"1")], b"")
             return
-        self.received.append(request)
+        self._note(request)
         if self.fault == "answer lost":
             raise ConnectionResetError("the answer is lost")
         if self.fault == "error":
@@ -276,8 +348,9 @@
 
     def join(self, engines: list["Engine"]) -> None:
         """Learn the other engines by address."""
-        self.peers = {engine.address: engine for engine in engines}
+        self.peers = {engine.public_address or engine.address: engine for engine in engines}
         self.stalled = {}
+        self.wrong_paths: list[str] = []
 
     async def _handle(self, request: ServerRequest, responder: Responder) -> None:
         if request.target == b"/api/report":
@@ -305,9 +378,9 @@
 
     async def _stream(self, request: ServerRequest, responder: Responder) -> None:
         path = (request.header(b"x-hop-count") or b"").decode()
-        stages = [self.peers[part.partition("=")[0]] for part in path.split(",") if part]
+        stages = self._stages(path)
         attempt_id = (request.header(b"x-attempt-id") or b"").decode()
-        self.received.append(request)
+        self._note(request)
         first = int(request.header(b"last-event-id") or b"0") + 1
         await responder.start(200, self._headers(request))
         self.running += 1
@@ -325,6 +398,23 @@
         finally:
             self.running -= 1
 
+    def _stages(self, path: str) -> list["Engine"]:
+        """Return the engines of a path, and note one that does not run every layer once."""
+        stages = []
+        point = 0
+        for part in path.split(","):
+            address, _, layers = part.partition("=")
+            first, _, end = layers.partition("-")
+            stage = self.peers[address]
+            held = stage.layers or (0, 0)
+            if int(first) != point or not held[0] <= int(first) < int(end) <= held[1]:
+                self.wrong_paths.append(path)
+            stages.append(stage)
+            point = int(end)
+        if point != max(engine.layers[1] for engine in self.peers.values() if engine.layers):
+            self.wrong_paths.append(path)
+        return stages
+
     async def _wait_for(self, stages: list["Engine"], attempt_id: str) -> None:
         await asyncio.sleep(EVENT_SECONDS)
         for stage in stages:
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real daemons as processes, faults from outside, promises checked meanwhile."""
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -6,64 +6,19 @@
 from pathlib import Path
 
 from adapter import PlatformDialect, PlatformStoreDialect
-from ragwortpaddle_standins.users_platform import ANY_PORT, Engine, Service, Store
+from ragwortpaddle_standins.users_platform import (
+    ANY_PORT,
+    HOST,
+    KEY,
+    Engine,
+    Service,
+    Store,
+    configuration,
+)
 from ragwortpaddled.relay import RelayDaemon, load_relay_settings
 from ragwortpaddled.transport import Http1Connection, Http1Pool, ResponseHead
 
-HOST = b"desk.example"
-KEY = b"key-of-bench"
 WAIT_SECONDS = 8.0
-LAYERS = 8
-
-
-def configuration(version: int = 1, **changes: object) -> dict:
-    """Return a configuration with a streaming, a safe and an unsafe route."""
-
-    def route(name: str, kind: str, service: str, **more: object) -> dict:
-        return {
-            "name": name,
-            "host": HOST.decode(),
-            "pathPrefix": f"/{name}/",
-            "kind": kind,
-            "timeoutMs": 4000,
-            "targetLatencyMs": 500,
-            "priority": 1,
-            "service": service,
-            "maxAttempts": 2,
-            "public": False,
-            **more,
-        }
-
-    engine = {
-        "slots": 96,
-        "kvTokenBytes": 800000,
-        "layers": LAYERS,
-        "layerMb": 1000.0,
-        "step_ms": 0.85,
-        "per_seq_ms": 0.005,
-        "context_per_k": 0.007,
-        "read_per_s": 272000.0,
-        "usual": {"prompt": 700, "answer": 100},
-        "activationBytes": 40000,
-        "pipeMbps": 6500.0,
-        "kinds": [{"name": "card", "mb": 8000.0, "pace": 3.0, "readX": 3.0}],
-    }
-    return {
-        "version": version,
-        "routes": [
-            route("ask", "streaming", "model", resumable=True, targetGapMs=200, sticky=True),
-            route("once", "streaming", "model", resumable=False, targetGapMs=200),
-            route("look", "safe", "desk"),
-            route("book", "unsafe", "desk"),
-        ],
-        "services": [
-            {"name": "model", "maxConns": 100, "engine": engine},
-            {"name": "desk", "maxConns": 100},
-        ],
-        "limits": {"idleTimeoutMs": 5000},
-        "tenants": [{"name": "bench-team", "apiKeys": [KEY.decode()], "priority": 1}],
-        **changes,
-    }
 
 
 class RelayFleet:
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -6,6 +6,7 @@
 from adapter import PlatformDialect, PlatformStoreDialect
 from hypothesis import given
 from hypothesis import strategies as st
+from ragwortpaddle_standins.users_platform import configuration
 from ragwortpaddled.errors import ObjectsError
 from ragwortpaddled.protocol import (
     Forwarding,
@@ -16,7 +17,6 @@
     StoredObject,
 )
 from ragwortpaddled.transport import HttpReply
-from relay_fleet import configuration
 
 DIALECT = PlatformDialect()
 STORE = PlatformStoreDialect()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -4,9 +4,11 @@
 from collections.abc import AsyncIterator
 
 import pytest
-from ragwortpaddle_standins.users_platform import Service, StoreDoor
+from prometheus_client.parser import text_string_to_metric_families
+from ragwortpaddle_standins.users_platform import HOST, Service, StoreDoor, configuration
 from ragwortpaddled.errors import ReplyLostError
-from relay_fleet import HOST, RelayFleet, configuration
+from ragwortpaddled.telemetry import configure_telemetry
+from relay_fleet import RelayFleet
 
 DRAIN_SECONDS = 2.0  # the platform's bound on new work for an endpoint that leaves
 EVENTS = b"".join(f"id: {i}\ndata: token {i}\n\n".encode() for i in range(1, 9))
@@ -216,6 +218,34 @@
             door.stop()
 
 
+class TestMetrics:
+    async def test_counters_and_latencies_by_outcome(self, fleet: RelayFleet) -> None:
+        configure_telemetry("entry-1", "none", None, "", 0.0)
+        await fleet.ask(b"POST", b"/ask/1", b"m1")
+        await fleet.ask(b"GET", b"/look/1", b"m2")
+        await fleet.ask(b"GET", b"/unknown/1", b"m3")
+        connection = await fleet.pool.take(fleet.daemon.metrics_address)
+        await connection.send(b"GET", b"/metrics", [(b"Host", HOST)], b"")
+        assert (await connection.read_head()).status == 200
+        text = b""
+        while (data := await connection.read_body()) is not None:
+            text += data
+        samples = {
+            (sample.name, *(v for k, v in sample.labels.items() if not k.startswith("otel_"))): (
+                sample.value
+            )
+            for family in text_string_to_metric_families(text.decode())
+            for sample in family.samples
+        }
+        assert samples["ragwortpaddle_requests_total", "served"] >= 2
+        assert samples["ragwortpaddle_requests_total", "refused 404"] >= 1
+        assert samples["ragwortpaddle_request_seconds_count", "served"] >= 2
+        assert samples["ragwortpaddle_attempts_total", "answered"] >= 2
+        assert samples[("ragwortpaddle_first_event_seconds_count",)] >= 1
+        assert samples["ragwortpaddle_place_wait_seconds_count", "desk"] >= 1
+        assert any(key[0] == "ragwortpaddle_request_seconds_bucket" for key in samples)
+
+
 class TestEnd:
     async def test_running_stream_is_finished(self, fleet: RelayFleet) -> None:
         for engine in fleet.engines:
