Leave loading engines alone; keep a broken chain's engines in their order

Ruled out: the links (not congested then), lost orders.

Change: before a repeat, and after a take-over, the engine's report is read; an engine that is busy is left alone, one that was busy with another order is asked again after 0.5 s. A chain that neither spares nor neighbours can fill moves its cut points and keeps its order.

Before: test_long_load_is_left_to_end fails.

--- a/packages/ragwortpaddled/src/ragwortpaddled/_relay_daemon.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/_relay_daemon.py
@@ -14,6 +14,7 @@
 from ragwortpaddled._relay_settings import RelaySettings, load_relay_settings
 from ragwortpaddled.coordination import (
     Dispatcher,
+    EngineReports,
     Exchanger,
     FaultFinder,
     Placer,
@@ -60,7 +61,8 @@
         self._dispatcher = Dispatcher(self._fleet, section.data_centre, randomness)
         self._exchanger = Exchanger(dialect, self._fleet.loads)
         holder = f"{section.name}/{time.time_ns()}"
-        self._placer = Placer(self._fleet, platform, self._http, dialect, holder)
+        reports = EngineReports(self._http, dialect)
+        self._placer = Placer(self._fleet, platform, self._http, dialect, reports, holder)
         retry = settings.retry
         bounds = BudgetBounds(retry.ratio, retry.slack, retry.window_seconds)
         budget = SendBudget(bounds, randomness)
@@ -77,7 +79,7 @@
             self._fleet,
             self._dispatcher,
             self._exchanger,
-            FaultFinder(self._http, dialect),
+            FaultFinder(reports),
             budget,
             dialect,
             randomness,
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/__init__.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/__init__.py
@@ -4,6 +4,7 @@
 from ragwortpaddled.coordination._chain import ChainContext, Work, choose_chain, covers
 from ragwortpaddled.coordination._directory import Directory
 from ragwortpaddled.coordination._dispatcher import Dispatcher, PlaceRequest, Target
+from ragwortpaddled.coordination._engine_reports import EngineReports
 from ragwortpaddled.coordination._explainer import Explainer
 from ragwortpaddled.coordination._fault_finder import FaultFinder
 from ragwortpaddled.coordination._generation import Generator, Job
@@ -33,6 +34,7 @@
     "ChainContext",
     "Directory",
     "Dispatcher",
+    "EngineReports",
     "Exchanger",
     "Explainer",
     "FaultFinder",
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_placer.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_placer.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from ragwortpaddled.coordination._engine_reports import EngineReports
 from ragwortpaddled.coordination._lease import Lease
 from ragwortpaddled.coordination._relay_fleet import RelayFleet
 from ragwortpaddled.errors import PlatformError, TransportError
@@ -28,8 +29,11 @@
 HOLDER_SECONDS = 2.0  # of silence after which a peer's word on the lease is too old
 SETTLE_SECONDS = 0.6  # endpoints register within a second of each other at a start
 REPAIR_SETTLE_SECONDS = 0.1  # a chain with a hole serves nothing; flocks of entries come together
-REPEAT_SECONDS = 2.0  # an accepted order shows in the endpoint's entry within a heartbeat
+# An accepted order shows in the endpoint's entry within a heartbeat, if nothing is to be loaded.
+REPEAT_SECONDS = 2.0
 ORDER_TIMEOUT_SECONDS = 1.0
+BUSY_STATUS = 409  # an engine finishes an earlier order first
+BUSY_SECONDS = 0.5  # loading a tenth of the layers takes about a second
 TICK_SECONDS = 0.1
 PURPOSE = "placement"
 PLAN_PREFIX = "placements/"
@@ -57,9 +61,11 @@
         platform: Platform,
         http: HttpClient,
         dialect: Dialect,
+        reports: EngineReports,
         holder: str,
     ) -> None:
         self._fleet = fleet
+        self._reports = reports
         self._platform = platform
         self._http = http
         self._dialect = dialect
@@ -67,6 +73,7 @@
         self._plans: dict[str, _Plan] = {}
         self._changed_at = time.monotonic()
         self._ordered_by_id: dict[str, tuple[LayerRange, float]] = {}
+        self._unsure_ids: set[str] = set()
         self._orders: set[asyncio.Task[None]] = set()
         self._fencing = 0
         self._holder_heard_at = -HOLDER_SECONDS
@@ -122,6 +129,10 @@
             return
         self._plans = plans
         self._ordered_by_id.clear()
+        # The holder before may have given these orders just now.
+        self._unsure_ids = {
+            stage.engine_id for plan in plans.values() for chain in plan.chains for stage in chain
+        }
         self._fencing = self._lease.fencing
         logger.info("placement taken up", extra={"fields": {"fencing": self._fencing}})
 
@@ -189,10 +200,28 @@
             if last is not None and last[0] == stage.layers and now - last[1] < REPEAT_SECONDS:
                 continue
             self._ordered_by_id[stage.engine_id] = (stage.layers, now)
-            task = asyncio.create_task(self._give(entry, stage))
+            repeated = last is not None and last[0] == stage.layers
+            unsure = stage.engine_id in self._unsure_ids
+            self._unsure_ids.discard(stage.engine_id)
+            give = self._give_again if repeated or unsure else self._give
+            task = asyncio.create_task(give(entry, stage))
             self._orders.add(task)
             task.add_done_callback(self._orders.discard)
 
+    async def _give_again(self, entry: EndpointEntry, stage: Stage) -> None:
+        """Repeat an order, unless the engine is at it: it would begin to load anew."""
+        report = await self._reports.read(entry.address)
+        if report is None or report.ordered or report.layers == stage.layers:
+            fields = {
+                "endpoint": entry.id,
+                "layers": str(stage.layers),
+                "answers": report is not None,
+                "held": str(report.layers or "") if report is not None else "",
+            }
+            logger.info("order not repeated", extra={"fields": fields})
+            return
+        await self._give(entry, stage)
+
     async def _give(self, entry: EndpointEntry, stage: Stage) -> None:
         order = PlaceOrder(stage.layers, self._fencing)
         fields = {
@@ -213,6 +242,9 @@
             logger.warning("order lost", extra={"fields": {**fields, "reason": str(error)}})
             return
         logger.info("order given", extra={"fields": {**fields, "status": reply.status}})
+        if reply.status == BUSY_STATUS:
+            asked_at = time.monotonic() - REPEAT_SECONDS + BUSY_SECONDS
+            self._ordered_by_id[entry.id] = (stage.layers, asked_at)
 
 
 class _Plan:
--- a/packages/ragwortpaddled/src/ragwortpaddled/state/_placement.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/_placement.py
@@ -3,12 +3,16 @@
 Load pattern: bursts that fill engine memory long before the arithmetic is busy. A chain carries no
 more sequences than its narrowest stage has memory for, so the ranges give every stage of a chain
 memory for the same number of tokens, and the number of chains trades that memory against speed.
+
+Load pattern of repairs: a release replaces an engine a second, or some leave at once. Each layer
+that moves has to be loaded, and loads slow each other, so a broken chain keeps its engines in their
+order and moves its cut points by a few layers.
 """
 
 import math
 from collections import defaultdict
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from ragwortpaddled.protocol import AcceleratorKind, LayeredModel, LayerRange
 
@@ -18,6 +22,9 @@
 # More chains than the fastest number are taken at this share of its rate: each failure costs less.
 ACCEPTED_RATE_SHARE = 0.8
 SEARCH_STEPS = 24
+# Neighbours that take over a hole keep serving meanwhile, and few layers are loaded; that is worth
+# less memory, but not a chain of half the size.
+FILLED_TOKENS_SHARE = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,8 +80,9 @@
 ) -> list[Chain]:
     """Return the plan after engines came or went.
 
-    Whole chains stay as they are. A broken one keeps its engines where they are if spare ones and
-    its own neighbours can hold the lost layers, since each layer that moves has to be loaded.
+    Whole chains stay as they are. A broken one gets spare engines for its hole, else its neighbours
+    take the lost layers, or all its engines do where the neighbours would have little memory left.
+    Only what is then too small for a chain is planned anew.
     """
     engine_by_id = {engine.id: engine for engine in engines}
     kept = [chain for chain in chains if all(s.engine_id in engine_by_id for s in chain)]
@@ -82,16 +90,62 @@
     spares = [engine for engine in engines if engine.id not in used]
     broken = [chain for chain in chains if chain not in kept]
     for chain in sorted(broken, key=lambda c: sum(s.engine_id not in engine_by_id for s in c)):
-        filled = _fill_holes(model, chain, engine_by_id, spares)
-        if filled is None:
+        repaired = _repair(model, chain, engine_by_id, spares)
+        if repaired is None:
             spares += [engine_by_id[s.engine_id] for s in chain if s.engine_id in engine_by_id]
             continue
-        kept.append(filled)
-        taken = {stage.engine_id for stage in filled}
+        kept.append(repaired)
+        taken = {stage.engine_id for stage in repaired}
         spares = [engine for engine in spares if engine.id not in taken]
     return kept + plan_chains(model, spares)
 
 
+def _repair(
+    model: LayeredModel,
+    chain: Chain,
+    engine_by_id: Mapping[str, Engine],
+    spares: Sequence[Engine],
+) -> Chain | None:
+    """Fill the holes of a chain, or move all its cut points where that leaves far more memory."""
+    filled = _fill_holes(model, chain, engine_by_id, spares)
+    recut = _recut(model, chain, engine_by_id)
+    if filled is None or recut is None:
+        return filled or recut
+    kinds = {e.id: model.kind_by_name[e.kind] for e in (*engine_by_id.values(), *spares)}
+
+    def tokens(one: Chain) -> float:
+        return min(token_capacity(model, kinds[s.engine_id], len(s.layers)) for s in one)
+
+    return filled if tokens(filled) >= FILLED_TOKENS_SHARE * tokens(recut) else recut
+
+
+def _recut(model: LayeredModel, chain: Chain, engine_by_id: Mapping[str, Engine]) -> Chain | None:
+    """Divide the layers anew between the engines that are left, in their order."""
+    left = [
+        replace(engine_by_id[stage.engine_id], held=stage.layers)
+        for stage in chain
+        if stage.engine_id in engine_by_id
+    ]
+    floor_tokens = MIN_SEQUENCES_PER_CHAIN * _usual_tokens(model)
+
+    def members(tokens: float) -> list[_Member]:
+        return [
+            _Member(engine, layer_limit(model, model.kind_by_name[engine.kind], tokens))
+            for engine in left
+        ]
+
+    if sum(member.limit for member in members(floor_tokens)) < model.layers:
+        return None
+    low, high = floor_tokens, model.slots * _usual_tokens(model) * 4
+    for _ in range(SEARCH_STEPS):
+        middle = (low + high) / 2
+        if sum(member.limit for member in members(middle)) >= model.layers:
+            low = middle
+        else:
+            high = middle
+    return _cut(model, [member for member in members(low) if member.limit > 0])
+
+
 def _usual_tokens(model: LayeredModel) -> float:
     return model.usual_prompt_tokens + model.usual_answer_tokens
 
--- a/soak/_daemon.py
+++ b/soak/_daemon.py
@@ -10,7 +10,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 START_SECONDS = 20.0
 GRACE_SECONDS = 4.0
-ANY_PORT = "127.0.0.1:0"
+ENDED = "Z"  # the process is gone, and the soak itself was held up
 
 
 class Daemon:
@@ -77,8 +77,10 @@
             async with asyncio.timeout(GRACE_SECONDS + 1.0):
                 await self._process.wait()
         except TimeoutError:
-            self.own_ends.append(f"late, in state {_process_state(self._process.pid)}")
-            self.send_signal(signal.SIGKILL)
+            state = _process_state(self._process.pid)
+            if state != ENDED:
+                self.own_ends.append(f"late, in state {state}")
+                self.send_signal(signal.SIGKILL)
             await self._process.wait()
 
     async def _watch_end(self, process: asyncio.subprocess.Process) -> None:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -7,7 +7,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from ragwortpaddled.protocol import AcceleratorKind, LayeredModel
-from ragwortpaddled.state import Chain, Engine, plan_chains, repair_chains, token_capacity
+from ragwortpaddled.state import (
+    Chain,
+    Engine,
+    plan_chains,
+    repair_chains,
+    token_capacity,
+)
 
 MODEL = LayeredModel(
     layers=80,
@@ -142,6 +148,29 @@
         moved = [s for chain in repaired for s in chain if s not in before]
         assert sum(len(stage.layers) for stage in moved) == len(lost.layers)
 
+    def test_two_losses_move_cut_points_by_a_few_layers(self) -> None:
+        """Two engines of a chain leave in the midst of a release."""
+        chains = plan_chains(MODEL, THREE_DATA_CENTRES)
+        long = max(chains, key=len)
+        lost = {stage.engine_id for stage in (long[2], long[3])}
+        engines = [engine for engine in THREE_DATA_CENTRES if engine.id not in lost]
+        repaired = repair_chains(MODEL, chains, engines)
+        assert_sound(repaired, engines)
+        assert all(chain in repaired for chain in chains if chain != long)
+        layers_by_id = {s.engine_id: s.layers for s in long if s.engine_id not in lost}
+        (again,) = [c for c in repaired if layers_by_id.keys() <= {s.engine_id for s in c}]
+        order = [stage.engine_id for stage in again if stage.engine_id in layers_by_id]
+        assert order == [s.engine_id for s in long if s.engine_id in layers_by_id]
+
+    def test_one_loss_leaves_memory_in_every_stage(self) -> None:
+        chains = plan_chains(MODEL, THREE_DATA_CENTRES)
+        for lost in (stage for chain in chains for stage in chain):
+            engines = [e for e in THREE_DATA_CENTRES if e.id != lost.engine_id]
+            kind_by_id = {e.id: MODEL.kind_by_name[e.kind] for e in engines}
+            (chain,) = [c for c in repair_chains(MODEL, chains, engines) if c not in chains]
+            tokens = [token_capacity(MODEL, kind_by_id[s.engine_id], len(s.layers)) for s in chain]
+            assert min(tokens) >= 12 * 920
+
     @pytest.mark.parametrize("seed", range(20))
     def test_losses_in_series(self, seed: int) -> None:
         randomness = random.Random(seed)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -218,6 +218,19 @@
             door.stop()
 
 
+class TestOrders:
+    async def test_long_load_is_left_to_end(self, tmp_path) -> None:
+        fleet = RelayFleet(tmp_path)
+        for engine in fleet.engines:
+            engine.load_seconds = 3.0
+        await fleet.start()
+        try:
+            assert (await fleet.ask(b"POST", b"/ask/1"))[0].status == 200
+            assert all(engine.orders == 1 for engine in fleet.engines)
+        finally:
+            await fleet.stop()
+
+
 class TestMetrics:
     async def test_counters_and_latencies_by_outcome(self, fleet: RelayFleet) -> None:
         configure_telemetry("entry-1", "none", None, "", 0.0)
