--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_generation.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_generation.py
@@ -83,8 +83,10 @@
 
         :raises Refusal: the answer cannot be completed
         """
+        fruitless = 0
         while True:
             job.attempts += 1
+            held = len(job.answer)
             chain = await self._wait_for_chain(job)
             try:
                 async for token in self._attempt(job, chain):
@@ -92,11 +94,14 @@
                 return
             except EndpointError as error:
                 await self._note_failure(job, error)
-            if job.attempts >= MAX_ATTEMPTS:
+            # A long answer may outlive several crashes that are none of its doing.
+            fruitless = fruitless + 1 if len(job.answer) == held else 1
+            if fruitless >= MAX_ATTEMPTS:
                 raise Refusal(
                     503,
                     "endpoints_failed",
-                    f"{job.attempts} attempts failed, the last at {job.failed_endpoints[-1]}",
+                    f"{fruitless} attempts failed without a token between them, "
+                    f"the last at {job.failed_endpoints[-1]}",
                     executed=Executed.UNKNOWN,
                     retry_after_seconds=2.0,
                 )
