Soak: take the daemons' ports from below the range of outgoing connections

Ruled out: a socket left by the daemon before (its listener is closed at its end, and the port was in the range that the system gives out). Change: ports between 10,000 and 30,000 that can be bound.

--- a/soak/_world.py
+++ b/soak/_world.py
@@ -21,6 +21,7 @@
 DAEMONS = 3
 CHAINS = 3  # of two engines
 DESKS = 3
+FIXED_PORTS = (10_000, 30_000)  # below the range of outgoing connections
 EXTRA = "extra"  # a route that comes and goes
 
 
@@ -117,9 +118,14 @@
 
 
 def _free_ports(count: int) -> list[int]:
-    """Return ports that were free a moment ago."""
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
+    """Return ports that are free, and that the system gives to no outgoing connection meanwhile."""
+    randomness = random.SystemRandom()
+    ports: list[int] = []
+    while len(ports) < count:
+        port = randomness.randrange(*FIXED_PORTS)
+        try:
+            socket.create_server(("127.0.0.1", port)).close()
+        except OSError:
+            continue
+        ports.append(port)
     return ports
