Use an endpoint whose removal is kept back only where no other can serve

Change: endpoints whose removal is kept back after a loss of the store are left out while others can serve; after an outage in which all lapsed they are used as before. Before: TestDoubtfulEndpoints and TestGivenUpStep fail.

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_dispatcher.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_dispatcher.py
@@ -238,16 +238,24 @@
     def _choose_path(
         self, work: PlaceRequest, unseen_by_id: Mapping[str, float] = NOTHING_UNSEEN
     ) -> PathChoice:
-        assert work.pool.model is not None
-        return choose_path(
-            work.pool.model,
-            self._fleet.in_pool(work.pool.name),
-            self._fleet.loads,
-            self._fleet.links,
-            work.demand,
-            avoided=work.avoided,
-            unseen_by_id=unseen_by_id,
-        )
+        model = work.pool.model
+        assert model is not None
+        entries = self._fleet.in_pool(work.pool.name)
+        sure = [entry for entry in entries if not self._fleet.is_doubtful(entry)]
+
+        def choose(among: list[EndpointEntry]) -> PathChoice:
+            return choose_path(
+                model,
+                among,
+                self._fleet.loads,
+                self._fleet.links,
+                work.demand,
+                avoided=work.avoided,
+                unseen_by_id=unseen_by_id,
+            )
+
+        choice = choose(sure)
+        return choice if choice.hops or len(sure) == len(entries) else choose(entries)
 
     def _try_endpoint(self, work: PlaceRequest) -> Target | None:
         now = time.monotonic()
@@ -257,7 +265,8 @@
             for e in self._fleet.in_pool(work.pool.name)
             if not e.leaving and e.id not in work.avoided
         ]
-        sound = [e for e in usable if not loads.of(e.id).suspect(now)] or usable
+        sure = [e for e in usable if not self._fleet.is_doubtful(e)] or usable
+        sound = [e for e in sure if not loads.of(e.id).suspect(now)] or sure
         unseen = loads.unseen_requests(work.pool.name) / max(1, len(sound))
         free = [e for e in sound if loads.of(e.id).running(now) + unseen < e.slots]
         if not free:
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_object_follower.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_object_follower.py
@@ -54,6 +54,10 @@
         """Tell whether the last call was answered."""
         return self._lost_at is None
 
+    def keeps_back_removal_of(self, key: str) -> bool:
+        """Tell whether an object was removed, but may only have lapsed in an outage."""
+        return key in self._removal_by_key
+
     @property
     def wants_changes_above(self) -> int:
         """Return the revision above which peers may know changes that this daemon lacks."""
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay.py
@@ -324,6 +324,9 @@
             if not task.done():
                 task.cancel()
                 await asyncio.wait([task])
+            if not task.cancelled():
+                # The step may have failed meanwhile; the caller has its own reason to end.
+                task.exception()
 
     def _can_do_better(self, target: Target) -> bool:
         last = self._runs + 1 >= self.route.max_attempts
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_fleet.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_fleet.py
@@ -90,6 +90,11 @@
         """Return the endpoints of a pool."""
         return [self.entry_by_id[endpoint_id] for endpoint_id in self._ids_by_pool[pool]]
 
+    def is_doubtful(self, entry: EndpointEntry) -> bool:
+        """Tell whether an endpoint may have left; it is used only where no other can serve."""
+        key = self._dialect.endpoints_prefix + entry.id
+        return self._endpoint_follower.keeps_back_removal_of(key)
+
     def adopt(self, value: str, version: int = 0) -> bool:
         """Move to a configuration if it is newer; return whether it was."""
         try:
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+from dataclasses import replace
 
 import pytest
 from ragwortpaddled.coordination import Dispatcher, PlaceRequest, Target
@@ -19,6 +20,7 @@
 
     def __init__(self) -> None:
         self.loads = EndpointLoads()
+        self.doubtful_ids: set[str] = set()
         self.links = LinkLoads()
         entry = EndpointEntry("desk-0", "desk", "10.0.0.1:80", "a", SLOTS, leaving=False)
         self.entry_by_id = {entry.id: entry}
@@ -26,6 +28,9 @@
     def on_change(self, listener) -> None:
         return
 
+    def is_doubtful(self, entry: EndpointEntry) -> bool:
+        return entry.id in self.doubtful_ids
+
     def in_pool(self, pool: str) -> list[EndpointEntry]:
         return list(self.entry_by_id.values())
 
@@ -97,3 +102,22 @@
         assert refused == 20 - len(waiting)
         for task in waiting:
             task.cancel()
+
+
+class TestDoubtfulEndpoints:
+    """An endpoint's removal that may only be a lapse in an outage of the store."""
+
+    async def test_another_is_preferred(self) -> None:
+        fleet = OnePool()
+        spare = replace(fleet.entry_by_id["desk-0"], id="desk-1")
+        fleet.entry_by_id[spare.id] = spare
+        fleet.doubtful_ids.add("desk-0")
+        dispatcher = Dispatcher(fleet, "a", random.Random(1))
+        targets = [await dispatcher.take(work()) for _ in range(SLOTS)]
+        assert {target.endpoint.id for target in targets} == {"desk-1"}
+
+    async def test_the_only_one_is_used(self) -> None:
+        fleet = OnePool()
+        fleet.doubtful_ids.add("desk-0")
+        target = await Dispatcher(fleet, "a", random.Random(1)).take(work())
+        assert target.endpoint.id == "desk-0"
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -1,12 +1,15 @@
 """The relay before stand-ins of the users' platform: what callers get, and what ran."""
 
 import asyncio
+import gc
 from collections.abc import AsyncIterator
 
 import pytest
 from prometheus_client.parser import text_string_to_metric_families
 from ragwortpaddle_standins.users_platform import HOST, Service, StoreDoor, configuration
+from ragwortpaddled.coordination._relay import _RelayedRequest
 from ragwortpaddled.errors import ReplyLostError
+from ragwortpaddled.protocol import RequestFacts
 from ragwortpaddled.telemetry import configure_telemetry
 from relay_fleet import RelayFleet
 
@@ -148,6 +151,32 @@
         await fleet.wait(lambda: not any(e.running for e in fleet.engines), "end of the work")
 
 
+class TestGivenUpStep:
+    async def test_error_of_a_step_that_nobody_waits_for_is_looked_at(self) -> None:
+        """The step fails while its stall is looked into, and then the caller leaves."""
+
+        class SlowFaults:
+            async def culprit(self, target: object, attempt_id: str) -> None:
+                await asyncio.sleep(0.2)
+
+        async def step() -> None:
+            await asyncio.sleep(0.03)
+            raise ReplyLostError("lost")
+
+        unseen: list[dict] = []
+        asyncio.get_running_loop().set_exception_handler(lambda _, context: unseen.append(context))
+        request = object.__new__(_RelayedRequest)
+        request.faults = SlowFaults()
+        request.facts = RequestFacts("a1")
+        waiting = asyncio.create_task(request._unless_stalled(step(), 0.01, None))
+        await asyncio.sleep(0.08)
+        waiting.cancel()
+        await asyncio.wait([waiting])
+        del waiting
+        gc.collect()
+        assert not unseen
+
+
 class TestChanges:
     async def test_leaving_endpoint_gets_nothing_new(self, fleet: RelayFleet) -> None:
         fleet.desks[0].register("draining")
