--- a/packages/standins/src/ragwortpaddle_standins/users_platform.py
+++ b/packages/standins/src/ragwortpaddle_standins/users_platform.py
@@ -7,7 +7,9 @@
 import asyncio
 import time
 from collections import Counter
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
+from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
 import msgspec
@@ -73,19 +75,13 @@
     }
 
 
-class Store:
-    """The metadata store: kinds, names, one revision, watches."""
+class _Listener:
+    """What listens on a port of the system."""
 
-    def __init__(self) -> None:
-        self.revision = 1
-        self.object_by_key: dict[str, dict] = {}
-        self.calls: Counter[str] = Counter()
-        self.refuse = False
-        self.lose_writes = 0
-        self.history_from = 0
-        self._changes: list[tuple[int, str, bool]] = []
-        self._changed = asyncio.Event()
-        self._server = Http1Server(ANY_PORT, self.handle)
+    def __init__(
+        self, handler: Callable[[ServerRequest, Responder], Coroutine[Any, Any, None]]
+    ) -> None:
+        self._server = Http1Server(ANY_PORT, handler)
 
     @property
     def address(self) -> str:
@@ -101,6 +97,21 @@
         self._server.stop_accepting()
         self._server.abort()
 
+
+class Store(_Listener):
+    """The metadata store: kinds, names, one revision, watches."""
+
+    def __init__(self) -> None:
+        self.revision = 1
+        self.object_by_key: dict[str, dict] = {}
+        self.calls: Counter[str] = Counter()
+        self.refuse = False
+        self.lose_writes = 0
+        self.history_from = 0
+        self._changes: list[tuple[int, str, bool]] = []
+        self._changed = asyncio.Event()
+        super().__init__(self.handle)
+
     def put(self, kind: str, name: str, spec: object) -> int:
         """Write an object as its owner would; return its revision."""
         self.revision += 1
@@ -199,22 +210,13 @@
         return events
 
 
-class StoreDoor:
+class StoreDoor(_Listener):
     """A second address of a store, which may turn its callers away while the store serves."""
 
     def __init__(self, store: Store) -> None:
         self._store = store
         self._shut = False
-        self._server = Http1Server(ANY_PORT, self._handle)
-
-    @property
-    def address(self) -> str:
-        """Return the address, once started."""
-        return self._server.address
-
-    async def start(self) -> None:
-        """Start listening."""
-        await self._server.start()
+        super().__init__(self._handle)
 
     def shut(self) -> None:
         """Cut every call that waits and answer each further one with 503."""
@@ -225,11 +227,6 @@
         """Let callers in again."""
         self._shut = False
 
-    def stop(self) -> None:
-        """Reset every connection and listen no more."""
-        self._server.stop_accepting()
-        self._server.abort()
-
     async def _handle(self, request: ServerRequest, responder: Responder) -> None:
         if self._shut:
             await responder.send(503, [], b"")
