One copy of what callers send, of the events and of the soak's bounds

The headers of a caller, the id of an attempt in a request, the events of a stream and the bounds on contact and leaving each stood two or three times, in the soak beside the stand-ins and tests; the soak also named headers of the wire. They stand once now, with the stand-ins and in soak/_world.py, and the soak names no header any more.

--- a/packages/standins/src/ragwortpaddle_standins/users_platform.py
+++ b/packages/standins/src/ragwortpaddle_standins/users_platform.py
@@ -23,6 +23,33 @@
 HOST = b"desk.example"
 KEY = b"key-of-bench"
 LAYERS = 8
+EVENT_COUNT = 8
+
+
+def event(number: int) -> bytes:
+    """Return one event of an engine's stream."""
+    return f"id: {number}\ndata: token {number}\n\n".encode()
+
+
+EVENTS = b"".join(event(number) for number in range(1, EVENT_COUNT + 1))
+
+
+def caller_headers(
+    attempt_id: bytes, *, key: bytes = KEY, deadline_ms: bytes = b"5000"
+) -> list[tuple[bytes, bytes]]:
+    """Return the headers that a caller sends with every request."""
+    return [
+        (b"Host", HOST),
+        (b"X-Attempt-Id", attempt_id),
+        (b"X-Key", key),
+        (b"X-Deadline-Ms", deadline_ms),
+        (b"X-Token-Counts", b"700,100"),
+    ]
+
+
+def attempt_id_of(request: ServerRequest) -> str:
+    """Return the id of the caller's attempt that a request belongs to."""
+    return (request.header(b"x-attempt-id") or b"").decode()
 
 
 def configuration(version: int = 1, **changes: object) -> dict:
@@ -294,8 +321,7 @@
 
     def ran(self, attempt_id: str) -> int:
         """Return how often a request began to run here."""
-        wanted = attempt_id.encode()
-        return sum(r.header(b"x-attempt-id") == wanted for r in self.received)
+        return sum(attempt_id_of(request) == attempt_id for request in self.received)
 
     async def _handle(self, request: ServerRequest, responder: Responder) -> None:
         raise NotImplementedError
@@ -306,7 +332,7 @@
 
     def _headers(self, request: ServerRequest) -> list[tuple[bytes, bytes]]:
         return [
-            (b"X-Attempt-Id", request.header(b"x-attempt-id") or b""),
+            (b"X-Attempt-Id", attempt_id_of(request).encode()),
             (b"X-Server-Seal", f"seal.{self.id}".encode()),
             (b"X-Replica-Load", f"{self.running},0,{self.slots}".encode()),
         ]
@@ -336,20 +362,22 @@
 class Engine(Endpoint):
     """An engine that holds layers, forwards along a path and streams events."""
 
-    peers: dict[str, "Engine"]
-    total_events = 8
+    total_events = EVENT_COUNT
     pause_at = 0
     fence = 0
     orders = 0
     load_seconds = 0.0
     loading: asyncio.Task[None] | None = None
-    stalled: dict[str, str]
+
+    def __post_init__(self) -> None:
+        super().__post_init__()
+        self.peers: dict[str, Engine] = {}
+        self.stalled: dict[str, str] = {}
+        self.wrong_paths: list[str] = []
 
     def join(self, engines: list["Engine"]) -> None:
         """Learn the other engines by address."""
         self.peers = {engine.public_address or engine.address: engine for engine in engines}
-        self.stalled = {}
-        self.wrong_paths: list[str] = []
 
     async def _handle(self, request: ServerRequest, responder: Responder) -> None:
         if request.target == b"/api/report":
@@ -383,18 +411,23 @@
     async def _load(self, first: int, end: int) -> None:
         """Load layers from the start, whatever was loaded before."""
         self.layers = None
-        self.register()
+        self._tell_layers()
         await asyncio.sleep(self.load_seconds)
         self._hold(first, end)
 
     def _hold(self, first: int, end: int) -> None:
         self.layers = (first, end)
-        self.register()
+        self._tell_layers()
+
+    def _tell_layers(self) -> None:
+        """Write the entry anew, unless the engine has left: it would be back for good."""
+        if self.left_at is None:
+            self.register()
 
     async def _stream(self, request: ServerRequest, responder: Responder) -> None:
         path = (request.header(b"x-hop-count") or b"").decode()
         stages = self._stages(path)
-        attempt_id = (request.header(b"x-attempt-id") or b"").decode()
+        attempt_id = attempt_id_of(request)
         self._note(request)
         first = int(request.header(b"last-event-id") or b"0") + 1
         await responder.start(200, self._headers(request))
@@ -404,11 +437,10 @@
                 await self._wait_for(stages, attempt_id)
                 if number == self.pause_at:
                     await asyncio.sleep(PAUSE_SECONDS)
-                event = f"id: {number}\ndata: token {number}\n\n".encode()
                 if self.fault == "torn" and number == self.total_events // 2:
-                    await responder.write(event[:7])
+                    await responder.write(event(number)[:7])
                     raise ConnectionResetError("the engine failed within an event")
-                await responder.write(event)
+                await responder.write(event(number))
             await responder.finish()
         finally:
             self.running -= 1
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -6,7 +6,7 @@
 import time
 from dataclasses import dataclass, field
 
-from ragwortpaddle_standins.users_platform import HOST, KEY
+from ragwortpaddle_standins.users_platform import caller_headers
 from ragwortpaddled.errors import NotSentError, ReplyLostError
 from ragwortpaddled.transport import Http1Connection, Http1Pool
 
@@ -77,13 +77,8 @@
         """Send a request and read its answer."""
         sighting = Sighting(f"r{next(self._numbers)}", kind, daemon, time.monotonic())
         self.sightings.append(sighting)
-        headers = [
-            (b"Host", HOST),
-            (b"X-Attempt-Id", sighting.attempt_id.encode()),
-            (b"X-Key", KEY),
-            (b"X-Deadline-Ms", str(int(DEADLINE_SECONDS * 1000)).encode()),
-            (b"X-Token-Counts", b"700,100"),
-        ]
+        deadline_ms = str(int(DEADLINE_SECONDS * 1000)).encode()
+        headers = caller_headers(sighting.attempt_id.encode(), deadline_ms=deadline_ms)
         method = b"POST" if kind in ("ask", "once", "book") else b"GET"
         try:
             async with asyncio.timeout(PATIENCE_SECONDS):
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -8,10 +8,8 @@
 from ragwortpaddle_standins.users_platform import Endpoint
 
 from soak._proxy import Mode
-from soak._world import World
+from soak._world import CONTACT_SECONDS, LEAVE_SECONDS, World
 
-CONTACT_SECONDS = 3.0  # how long after a disturbance time bounds do not hold for a daemon
-LEAVE_SECONDS = 2.0
 MIN_DESKS = 2
 MIN_ENGINES = 4
 
--- a/soak/_judge.py
+++ b/soak/_judge.py
@@ -2,14 +2,13 @@
 
 from collections import defaultdict
 
+from ragwortpaddle_standins.users_platform import EVENTS, attempt_id_of
+
 from soak._callers import DEADLINE_SECONDS, Sighting
-from soak._world import EXTRA, World
+from soak._world import CONTACT_SECONDS, EXTRA, LEAVE_SECONDS, World
 
-EVENTS = b"".join(f"id: {i}\ndata: token {i}\n\n".encode() for i in range(1, 9))
-LEAVE_SECONDS = 2.0  # the platform's bound on new work for an endpoint that leaves
-APPLY_SECONDS = 2.0  # and on a configuration that is not in force yet
+APPLY_SECONDS = 2.0  # the platform's bound on a configuration that is not in force yet
 ANSWER_SLACK_SECONDS = 0.5  # beyond the deadline
-CONTACT_SECONDS = 3.0  # the store counts as stable so long after a disturbance
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
@@ -34,7 +33,7 @@
     runs: defaultdict[str, list[str]] = defaultdict(list)
     for endpoint in world.endpoints:
         for request in endpoint.received:
-            runs[(request.header(b"x-attempt-id") or b"").decode()].append(endpoint.id)
+            runs[attempt_id_of(request)].append(endpoint.id)
     return runs
 
 
@@ -91,7 +90,7 @@
             continue
         for request, at in zip(endpoint.received, endpoint.received_at, strict=True):
             late = at - endpoint.left_at
-            attempt_id = (request.header(b"x-attempt-id") or b"").decode()
+            attempt_id = attempt_id_of(request)
             daemon = daemon_by_attempt.get(attempt_id)
             if late > LEAVE_SECONDS and daemon is not None and daemon.harmed_until < at:
                 faults.append(f"{daemon.name} sent {attempt_id} to {endpoint.id} {late:.2f} s late")
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -18,6 +18,8 @@
 from soak._daemon import START_SECONDS, Daemon
 from soak._proxy import Proxy
 
+CONTACT_SECONDS = 3.0  # how long after a disturbance time bounds do not hold for what it struck
+LEAVE_SECONDS = 2.0  # the platform's bound on new work for an endpoint that leaves
 DAEMONS = 3
 CHAINS = 3  # of two engines
 DESKS = 3
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -8,11 +8,11 @@
 from adapter import PlatformDialect, PlatformStoreDialect
 from ragwortpaddle_standins.users_platform import (
     ANY_PORT,
-    HOST,
     KEY,
     Engine,
     Service,
     Store,
+    caller_headers,
     configuration,
 )
 from ragwortpaddled.relay import RelayDaemon, load_relay_settings
@@ -80,13 +80,8 @@
     ) -> Http1Connection:
         """Send a caller's request on a connection of its own."""
         connection = await self.pool.take(self.daemon.address, fresh=True)
-        sent = [
-            (b"Host", HOST),
-            (b"X-Attempt-Id", attempt),
-            (b"X-Key", headers.pop("key", KEY)),
-            (b"X-Deadline-Ms", headers.pop("deadline", b"5000")),
-            (b"X-Token-Counts", b"700,100"),
-        ]
+        key = headers.pop("key", KEY)
+        sent = caller_headers(attempt, key=key, deadline_ms=headers.pop("deadline", b"5000"))
         sent += [(name.replace("_", "-").encode(), value) for name, value in headers.items()]
         await connection.send(method, path, sent, b"")
         return connection
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -6,7 +6,7 @@
 
 import pytest
 from prometheus_client.parser import text_string_to_metric_families
-from ragwortpaddle_standins.users_platform import HOST, Service, StoreDoor, configuration
+from ragwortpaddle_standins.users_platform import EVENTS, HOST, Service, StoreDoor, configuration
 from ragwortpaddled.coordination._relay import _RelayedRequest
 from ragwortpaddled.errors import ReplyLostError
 from ragwortpaddled.protocol import RequestFacts
@@ -14,7 +14,6 @@
 from relay_fleet import RelayFleet
 
 DRAIN_SECONDS = 2.0  # the platform's bound on new work for an endpoint that leaves
-EVENTS = b"".join(f"id: {i}\ndata: token {i}\n\n".encode() for i in range(1, 9))
 
 
 @pytest.fixture
