Start the relay without the libraries of the product's own interface

Cause: a relay's imports took 1.27 s of processor time and 64 MB (823 modules), half of it for aiohttp, blacksheep, uvicorn and the trace exporter, which it hardly or never uses. Change: HttpClient and HttpServer are imported on first use, the trace exporter when it is selected; the relay's calls to the store and to engines use Http1Client, which is h11 over a pool of its own. Its replies are bounded: a body of 16 MB, 8 interim responses; a head was bounded before. The tests of endless replies and of the loaded libraries fail before it.

--- a/packages/ragwortpaddled/src/ragwortpaddled/_relay_daemon.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/_relay_daemon.py
@@ -27,8 +27,8 @@
 from ragwortpaddled.state import PoolRetryBudget, RetryBudgetBounds
 from ragwortpaddled.transport import (
     CallerLimits,
+    Http1Client,
     Http1Server,
-    HttpClient,
     Responder,
     ServerRequest,
 )
@@ -52,18 +52,18 @@
         self._settings_path = path
         self._settings_text = path.read_text()
         random_source = random.Random()
-        self._http = HttpClient()
+        http = self._http = Http1Client()
         platform = self._platform = PlatformClient(
-            self._http, settings.store.url, settings.store.timeout_ms / 1000, store_dialect
+            http, settings.store.url, settings.store.timeout_ms / 1000, store_dialect
         )
         drain_seconds = settings.store.leave_ms / 1000
         self._relay_directory = RelayDirectory(platform, dialect, random_source, drain_seconds)
         self._dispatcher = Dispatcher(self._relay_directory, section.data_centre, random_source)
         self._endpoint_client = EndpointClient(dialect, self._relay_directory.loads)
         holder = f"{section.name}/{time.time_ns()}"
-        reports = EngineReports(self._http, dialect)
+        reports = EngineReports(http, dialect)
         self._layer_placer = LayerPlacer(
-            self._relay_directory, platform, self._http, dialect, reports, holder
+            self._relay_directory, platform, http, dialect, reports, holder
         )
         retry = settings.retry
         bounds = RetryBudgetBounds(retry.ratio, retry.slack, retry.window_seconds)
@@ -178,7 +178,7 @@
         except TimeoutError:
             logger.warning("lease and daemon entry not released before the close timeout")
         self._endpoint_client.connections.close()
-        await self._http.close()
+        self._http.close()
         summary: dict[str, object] = {
             "ms": int((time.monotonic() - started_at) * 1000),
             "platform_calls": self._platform.calls_by_purpose,
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_endpoint_client.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_endpoint_client.py
@@ -57,10 +57,9 @@
 
     async def read_all(self) -> bytes:
         """Return the whole body; raises ``ReplyLostError``."""
-        parts = []
-        while (data := await self.read()) is not None:
-            parts.append(data)
-        return b"".join(parts)
+        body = await self._connection.read_body()
+        self._complete = True
+        return body
 
     def close(self) -> None:
         """Return the connection to the pool after a complete response, else close it.
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_engine_reports.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_engine_reports.py
@@ -5,7 +5,7 @@
 
 from ragwortpaddled.errors import ObjectsError, TransportError
 from ragwortpaddled.protocol import Dialect, EngineReport
-from ragwortpaddled.transport import HttpClient
+from ragwortpaddled.transport import HttpExchange
 
 REPORT_TIMEOUT_SECONDS = 0.3  # a live engine responds within a few milliseconds
 
@@ -15,7 +15,7 @@
 class EngineReports:
     """Reads engine reports by address; concurrent reads of one engine share one request."""
 
-    def __init__(self, http: HttpClient, dialect: Dialect) -> None:
+    def __init__(self, http: HttpExchange, dialect: Dialect) -> None:
         self._http = http
         self._dialect = dialect
         self._read_task_by_address: dict[str, asyncio.Task[EngineReport | None]] = {}
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_layer_placer.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_layer_placer.py
@@ -22,7 +22,7 @@
     PlatformClient,
 )
 from ragwortpaddled.state import Chain, Engine, Stage, repair_chains
-from ragwortpaddled.transport import HttpClient
+from ragwortpaddled.transport import HttpExchange
 
 LEASE_RENEWAL_SECONDS = 0.8  # about a quarter of the lease's duration
 STANDBY_POLL_SECONDS = 1.6  # interval of lease reads by daemons that do not hold it
@@ -59,7 +59,7 @@
         self,
         relay_directory: RelayDirectory,
         platform: PlatformClient,
-        http: HttpClient,
+        http: HttpExchange,
         dialect: Dialect,
         reports: EngineReports,
         holder: str,
--- a/packages/ragwortpaddled/src/ragwortpaddled/protocol/_engine.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/_engine.py
@@ -15,7 +15,7 @@
     TransportError,
 )
 from ragwortpaddled.telemetry import trace_headers
-from ragwortpaddled.transport import HttpClient, HttpReply
+from ragwortpaddled.transport import HttpExchange, HttpReply
 
 T = TypeVar("T")
 
@@ -117,7 +117,7 @@
 class EngineClient:
     """A client of engines, and of the status path that plain services have too."""
 
-    def __init__(self, http: HttpClient) -> None:
+    def __init__(self, http: HttpExchange) -> None:
         self._http = http
 
     async def run_steps(
--- a/packages/ragwortpaddled/src/ragwortpaddled/protocol/_platform.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/_platform.py
@@ -21,7 +21,7 @@
     WriteOutcomeUnknownError,
 )
 from ragwortpaddled.telemetry import trace_headers, tracer
-from ragwortpaddled.transport import HttpClient, HttpReply
+from ragwortpaddled.transport import HttpExchange, HttpReply
 
 T = TypeVar("T")
 
@@ -177,7 +177,7 @@
 
     def __init__(
         self,
-        http: HttpClient,
+        http: HttpExchange,
         url: str,
         timeout_seconds: float,
         dialect: StoreDialect | None = None,
--- a/packages/ragwortpaddled/src/ragwortpaddled/protocol/_service.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/_service.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from ragwortpaddled.protocol._refusal import ATTEMPT_HEADER, REQUEST_ID_HEADER
-from ragwortpaddled.transport import HttpClient, HttpReply
+from ragwortpaddled.transport import HttpExchange, HttpReply
 
 IDEMPOTENCY_KEY_HEADER = b"Idempotency-Key"
 
@@ -39,7 +39,7 @@
 class ServiceClient:
     """A client of plain services."""
 
-    def __init__(self, http: HttpClient) -> None:
+    def __init__(self, http: HttpExchange) -> None:
         self._http = http
 
     async def call(
--- a/packages/ragwortpaddled/src/ragwortpaddled/telemetry.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/telemetry.py
@@ -4,7 +4,6 @@
 from pathlib import Path
 
 from opentelemetry import metrics, propagate, trace
-from opentelemetry.exporter.otlp.proto.http.trace_exporter import OTLPSpanExporter
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.resources import Resource
@@ -126,6 +125,9 @@
     if traces == "none":
         return None
     if traces == "otlp":
+        # Imported here because it takes 0.15 s, and few daemons export traces.
+        from opentelemetry.exporter.otlp.proto.http.trace_exporter import OTLPSpanExporter
+
         return OTLPSpanExporter(endpoint=otlp_url)
     if traces == "file" and trace_file is not None:
         out = trace_file.open("a", buffering=1)
--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/__init__.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/__init__.py
@@ -1,6 +1,14 @@
-"""Network transport: HTTP with callers, endpoints and the platform; pynng between daemons."""
+"""Network transport: HTTP with callers, endpoints and the platform; pynng between daemons.
+
+The client and server of the product's own interface are imported on first use: their libraries
+take half of a relay daemon's start, and the relay uses neither.
+"""
+
+from importlib import import_module
+from typing import TYPE_CHECKING, Any
 
 from ragwortpaddled.transport._http1_client import (
+    Http1Client,
     Http1Connection,
     Http1Pool,
     RawHeaders,
@@ -12,17 +20,22 @@
     Responder,
     ServerRequest,
 )
-from ragwortpaddled.transport._http_client import HttpClient, HttpReply
-from ragwortpaddled.transport._http_server import HttpServer
+from ragwortpaddled.transport._http_messages import HttpExchange, HttpReply
 from ragwortpaddled.transport._keyring import KeyRing
 from ragwortpaddled.transport._peer_socket import PeerClient, PeerHandler, PeerServer
 
+if TYPE_CHECKING:
+    from ragwortpaddled.transport._http_client import HttpClient
+    from ragwortpaddled.transport._http_server import HttpServer
+
 __all__ = [
     "CallerLimits",
+    "Http1Client",
     "Http1Connection",
     "Http1Pool",
     "Http1Server",
     "HttpClient",
+    "HttpExchange",
     "HttpReply",
     "HttpServer",
     "KeyRing",
@@ -34,3 +47,11 @@
     "ResponseHead",
     "ServerRequest",
 ]
+
+_MODULE_BY_NAME = {"HttpClient": "_http_client", "HttpServer": "_http_server"}
+
+
+def __getattr__(name: str) -> Any:
+    if name not in _MODULE_BY_NAME:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    return getattr(import_module(f"{__name__}.{_MODULE_BY_NAME[name]}"), name)
--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_client.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_client.py
@@ -1,19 +1,28 @@
-"""HTTP/1.1 client for endpoints: one exchange at a time per connection, no automatic retries."""
+"""HTTP/1.1 over h11: one exchange at a time per connection, no automatic retries."""
 
 import asyncio
 import time
 from collections import defaultdict
 from dataclasses import dataclass
+from urllib.parse import urlsplit
 
 import h11
 
-from ragwortpaddled.errors import NotSentError, ReplyLostError
+from ragwortpaddled.errors import NotSentError, ReplyLostError, ReplyTimeoutError
 from ragwortpaddled.transport._byte_stream import ByteStream, connect
-from ragwortpaddled.transport._http_client import IDLE_TIMEOUT_SECONDS, first_value
+from ragwortpaddled.transport._http_messages import (
+    IDLE_TIMEOUT_SECONDS,
+    Headers,
+    HttpReply,
+    first_value,
+)
 
 # Endpoints are about 1 ms away. TCP retransmits a lost SYN only after 1 s; trying another endpoint
 # is faster than waiting for that.
 CONNECT_TIMEOUT_SECONDS = 0.4
+# Bounds what a faulty server can make a reader keep; the largest expected reply has 1 MB.
+MAX_BODY_BYTES = 16 * 1024 * 1024
+MAX_INTERIM_RESPONSES = 8  # a correct server sends one or two
 
 RawHeaders = list[tuple[bytes, bytes]]
 
@@ -70,12 +79,13 @@
 
         :raises ReplyLostError: the connection broke or the response is not valid HTTP
         """
-        while True:
+        for _ in range(MAX_INTERIM_RESPONSES + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 return ResponseHead(event.status_code, list(event.headers))
             if not isinstance(event, h11.InformationalResponse):
                 raise ReplyLostError(f"{self.address}: connection closed before the response")
+        raise ReplyLostError(f"{self.address}: over {MAX_INTERIM_RESPONSES} interim responses")
 
     async def read_body_part(self) -> bytes | None:
         """Return the next part of the body, None once the body is complete.
@@ -91,6 +101,18 @@
                 return None
             raise ReplyLostError(f"{self.address}: connection closed within the response")
 
+    async def read_body(self) -> bytes:
+        """Return the whole body, or what remains of it.
+
+        :raises ReplyLostError: the connection broke, or the body exceeds ``MAX_BODY_BYTES``
+        """
+        body = bytearray()
+        while (data := await self.read_body_part()) is not None:
+            body += data
+            if len(body) > MAX_BODY_BYTES:
+                raise ReplyLostError(f"{self.address}: body exceeds {MAX_BODY_BYTES} bytes")
+        return bytes(body)
+
     def close(self) -> None:
         """Reset the connection, which makes the endpoint cancel a running request."""
         self._stream.abort()
@@ -109,7 +131,7 @@
 
 
 class Http1Pool:
-    """A pool of idle connections to endpoints, by address."""
+    """A pool of idle connections, by address."""
 
     def __init__(self) -> None:
         self.opened_count = 0
@@ -169,3 +191,51 @@
             for connection in idle:
                 connection.close()
         self._idle_by_address.clear()
+
+
+class Http1Client:
+    """Sends requests over connections of its own pool and reads complete replies."""
+
+    def __init__(self) -> None:
+        self._pool = Http1Pool()
+
+    async def exchange(
+        self,
+        method: str,
+        url: str,
+        *,
+        body: bytes = b"",
+        content_type: bytes = b"application/json",
+        headers: Headers = (),
+        timeout_seconds: float,
+        fresh_connection: bool = False,
+    ) -> HttpReply:
+        """Send a request and return its reply; see ``HttpExchange.exchange``."""
+        parts = urlsplit(url)
+        target = f"{parts.path or '/'}?{parts.query}" if parts.query else parts.path or "/"
+        sent_headers = [(b"Host", parts.netloc.encode()), *headers]
+        if body:
+            sent_headers.append((b"Content-Type", content_type))
+        if body or method not in ("GET", "DELETE"):
+            sent_headers.append((b"Content-Length", str(len(body)).encode()))
+        connection = await self._pool.acquire(parts.netloc, fresh=fresh_connection)
+        complete = False
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                await connection.send(method.encode(), target.encode(), sent_headers, body)
+                head = await connection.read_head()
+                reply = HttpReply(head.status, tuple(head.headers), await connection.read_body())
+            complete = True
+            return reply
+        except TimeoutError as error:
+            raise ReplyTimeoutError(f"{url}: no reply within {timeout_seconds:.3f} s") from error
+        finally:
+            if complete:
+                self._pool.release(connection)
+            else:
+                connection.close()
+            self._pool.close_idle()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        self._pool.close()
--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_server.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_server.py
@@ -14,7 +14,7 @@
 
 from ragwortpaddled.transport._byte_stream import ByteStream
 from ragwortpaddled.transport._http1_client import RawHeaders
-from ragwortpaddled.transport._http_client import first_value
+from ragwortpaddled.transport._http_messages import first_value
 
 LISTEN_BACKLOG = 1024  # connections of one burst; the kernel may lower it (net.core.somaxconn)
 
--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_http_client.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_http_client.py
@@ -1,8 +1,5 @@
 """HTTP client that distinguishes a request that was never sent from one whose reply was lost."""
 
-from collections.abc import Iterable
-from dataclasses import dataclass
-
 from aiohttp import (
     ClientConnectorError,
     ClientError,
@@ -16,31 +13,10 @@
 from yarl import URL
 
 from ragwortpaddled.errors import NotSentError, ReplyLostError, ReplyTimeoutError
+from ragwortpaddled.transport._http_messages import IDLE_TIMEOUT_SECONDS, Headers, HttpReply
 from ragwortpaddled.transport._socket_options import new_socket
 
 CONNECT_TIMEOUT_SECONDS = 1.0
-IDLE_TIMEOUT_SECONDS = 3.0  # common servers close idle connections after 5 s
-
-Headers = Iterable[tuple[bytes, bytes]]
-
-
-def first_value(headers: Headers, name: bytes) -> bytes | None:
-    """Return the first value of a header, None if it is absent; names are case-insensitive."""
-    wanted = name.lower()
-    return next((value for key, value in headers if key.lower() == wanted), None)
-
-
-@dataclass(frozen=True, slots=True)
-class HttpReply:
-    """A reply with its complete body."""
-
-    status: int
-    headers: tuple[tuple[bytes, bytes], ...]
-    body: bytes
-
-    def header(self, name: bytes) -> bytes | None:
-        """Return the first value of a header, None if it is absent."""
-        return first_value(self.headers, name)
 
 
 class HttpClient:
@@ -60,15 +36,7 @@
         timeout_seconds: float,
         fresh_connection: bool = False,
     ) -> HttpReply:
-        """Send a request and return its reply.
-
-        With ``fresh_connection``, a failure to connect always raises ``NotSentError``. On a pooled
-        connection that the server is just closing, the request may be lost after it was sent.
-
-        :raises NotSentError: no byte of the request was sent
-        :raises ReplyTimeoutError: no complete reply arrived within ``timeout_seconds``
-        :raises ReplyLostError: the request may have been executed
-        """
+        """Send a request and return its reply; see ``HttpExchange.exchange``."""
         header_map = CIMultiDict((k.decode("latin-1"), v.decode("latin-1")) for k, v in headers)
         if body:
             header_map["Content-Type"] = content_type.decode("latin-1")
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -11,9 +11,10 @@
 
 import pytest
 from ragwortpaddle_standins.fleet import free_address
-from ragwortpaddled.errors import NotSentError, ReplyLostError
+from ragwortpaddled.errors import NotSentError, ReplyLostError, ReplyTimeoutError
 from ragwortpaddled.transport import (
     CallerLimits,
+    Http1Client,
     Http1Pool,
     Http1Server,
     Responder,
@@ -207,3 +208,61 @@
             while await connection.read_body_part() is not None:
                 pass
         listener.close()
+
+
+class EndlessServer:
+    """Answers each request with a head, then repeats some bytes until the client disconnects."""
+
+    def __init__(self, head: bytes, repeated: bytes, pause_seconds: float = 0.0) -> None:
+        self._head = head
+        self._repeated = repeated
+        self._pause_seconds = pause_seconds
+        self.disconnected = asyncio.Event()
+
+    async def start(self) -> str:
+        """Listen and return the address."""
+        self._listener = await asyncio.start_server(self._respond, "127.0.0.1", 0)
+        return f"127.0.0.1:{self._listener.sockets[0].getsockname()[1]}"
+
+    async def _respond(self, reader, writer) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(self._head)
+        try:
+            while True:
+                writer.write(self._repeated)
+                await writer.drain()
+                await asyncio.sleep(self._pause_seconds)
+        except ConnectionError:
+            self.disconnected.set()
+
+
+class TestEndlessReplies:
+    """A faulty server sends bytes that are no answer until its client closes the connection."""
+
+    @pytest.mark.parametrize(
+        ("head", "repeated"),
+        [
+            (b"HTTP/1.1 200 OK\r\n", b"X-Filler: " + b"a" * 1000 + b"\r\n"),
+            (b"", b"HTTP/1.1 102 Processing\r\n\r\n"),
+            (b"", b"no status line, no end " * 40),
+            (b"HTTP/1.1 200 OK\r\n\r\n", b"a" * 65536),
+            (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", b"a" * 65536),
+        ],
+        ids=["header", "interim", "no-http", "body", "no-chunks"],
+    )
+    async def test_reply_is_lost_and_the_connection_dropped(self, head, repeated) -> None:
+        server = EndlessServer(head, repeated)
+        address = await server.start()
+        async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+            with pytest.raises(ReplyLostError) as lost:
+                await Http1Client().exchange("GET", f"http://{address}/", timeout_seconds=20.0)
+            assert not isinstance(lost.value, ReplyTimeoutError)
+            await server.disconnected.wait()
+
+    async def test_slow_bytes_without_end_time_out(self) -> None:
+        server = EndlessServer(b"HTTP/1.1 200 OK\r\n\r\n", b"a", pause_seconds=0.02)
+        address = await server.start()
+        async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+            with pytest.raises(ReplyTimeoutError):
+                await Http1Client().exchange("GET", f"http://{address}/", timeout_seconds=0.3)
+            await server.disconnected.wait()
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -47,6 +47,20 @@
         assert process.poll() is None
 
 
+class TestImports:
+    """All daemons may start at once on slow VMs, and callers wait meanwhile."""
+
+    def test_relay_loads_no_library_that_it_does_not_use(self) -> None:
+        listing = subprocess.run(
+            [sys.executable, "-c", "import sys, ragwortpaddled.relay; print(*sys.modules)"],
+            capture_output=True,
+            check=True,
+            text=True,
+        )
+        packages = {name.partition(".")[0] for name in listing.stdout.split()}
+        assert not packages & {"aiohttp", "blacksheep", "uvicorn", "google", "requests", "defopt"}
+
+
 def _ignored_signals(pid: int) -> int:
     status = Path(f"/proc/{pid}/status").read_text()
     line = next(line for line in status.splitlines() if line.startswith("SigIgn:"))
