Count only complete events as progress of a stream

Cause: any byte restarted the timeout of a stream, so an engine that sends a byte now and then, or an event without end, held its request until the deadline, and the buffer of the incomplete event grew without bound. Change: progress is a complete event; an incomplete one at a stall is put down to the first engine, which alone writes to the connection; an event is bounded to 256 KB. A stream of whole events 0.4 s apart still runs once (new test).

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay.py
@@ -40,6 +40,7 @@
 MAX_WAIT_SHARE = 0.5  # of the time until the deadline; the rest is for processing
 FIRST_EVENT_TIMEOUT_SECONDS = 1.5
 EVENT_TIMEOUT_SECONDS = 0.7  # callers leave after 2 s without an event; a retry prefills first
+MAX_EVENT_BYTES = 256 * 1024  # events have a few hundred bytes; bounds the memory per stream
 MAX_SENDS = 4
 # Of a route's target latency: a healthy endpoint responds within a quarter of it, so one that has
 # used most of it is slow or down, and a retry can still be of use to the caller.
@@ -260,11 +261,7 @@
 
     async def _relay_complete_response(self, response: Response, target: Target) -> None:
         body = await response.read_all()
-        if (
-            response.status >= 500
-            and self.route.retryable
-            and self._possible_runs + 1 < self.route.max_attempts
-        ):
+        if response.status >= 500 and self._may_retry:
             raise MaybeRunError(target.endpoint.id, f"response status {response.status}")
         if self.responder.started:
             raise MaybeRunError(target.endpoint.id, f"status {response.status} to a resumed stream")
@@ -273,11 +270,12 @@
 
     async def _relay_stream(self, response: Response, target: Target) -> None:
         while True:
-            data = await self._await_progress(response.read(), EVENT_TIMEOUT_SECONDS, target)
-            if data is None:
+            events = await self._await_progress(
+                self._read_events(response, target), EVENT_TIMEOUT_SECONDS, target
+            )
+            if events is None:
                 break
-            events = self._splitter.feed(data)
-            if events and not self.responder.started:
+            if not self.responder.started:
                 telemetry.first_event_seconds.record(time.monotonic() - self.started_at)
                 await self.responder.start(response.status, response.headers)
             await self.responder.write(events)
@@ -288,10 +286,23 @@
         await self.responder.finish()
         _log(self.metadata, "response sent", status=response.status, since=self.started_at)
 
+    async def _read_events(self, response: Response, target: Target) -> bytes | None:
+        """Return the next complete events, None at the end of the stream.
+
+        Bytes that complete no event are no progress, so a sender of single bytes counts as stalled.
+        """
+        while (data := await response.read()) is not None:
+            events = self._splitter.feed(data)
+            if events:
+                return events
+            if self._splitter.partial_bytes > MAX_EVENT_BYTES:
+                reason = f"event exceeds {MAX_EVENT_BYTES} bytes"
+                raise MaybeRunError(target.endpoint.id, reason)
+        return None
+
     async def _with_timeout(self, call: Coroutine[Any, Any, Response], target: Target) -> Response:
         """Time out a slow attempt of a safe request early enough to retry at another endpoint."""
-        is_last = self._possible_runs + 1 >= self.route.max_attempts
-        if self.route.request_kind is not RequestKind.SAFE or is_last:
+        if self.route.request_kind is not RequestKind.SAFE or self._is_last_attempt:
             return await call
         limit = max(MIN_TIMEOUT_SECONDS, self.route.target_latency_seconds * LATENCY_TARGET_SHARE)
         try:
@@ -316,6 +327,10 @@
                 stalled_id = await self.stall_locator.locate_stall(target, self.metadata.attempt_id)
                 if task.done():
                     break
+                if self._splitter.has_partial and not stalled_id and self._may_retry:
+                    # Only the first engine writes to this connection, so no other can be at fault.
+                    reason = f"no complete event for {seconds} s"
+                    raise MaybeRunError(target.endpoint.id, reason)
                 self._mark_links_congested(target, stalled_id)
                 if stalled_id or self._has_better_path(target):
                     raise StalledError(stalled_id or "", f"no progress for {seconds} s")
@@ -328,9 +343,18 @@
                 # Mark the operation's error as retrieved; this method ends for another reason.
                 task.exception()
 
+    @property
+    def _is_last_attempt(self) -> bool:
+        return self._possible_runs + 1 >= self.route.max_attempts
+
+    @property
+    def _may_retry(self) -> bool:
+        return self.route.retryable and not self._is_last_attempt
+
     def _has_better_path(self, target: Target) -> bool:
-        is_last = self._possible_runs + 1 >= self.route.max_attempts
-        return not is_last and self.dispatcher.has_other_path(self._dispatch_request(), target)
+        return not self._is_last_attempt and self.dispatcher.has_other_path(
+            self._dispatch_request(), target
+        )
 
     def _mark_links_congested(self, target: Target, stalled_id: str | None) -> None:
         if stalled_id:
--- a/packages/ragwortpaddled/src/ragwortpaddled/state/_event_splitter.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/_event_splitter.py
@@ -22,6 +22,11 @@
         """Return whether an incomplete event is buffered."""
         return bool(self._partial)
 
+    @property
+    def partial_bytes(self) -> int:
+        """Return the size of the incomplete event."""
+        return len(self._partial)
+
     def feed(self, data: bytes) -> bytes:
         """Add received bytes; return the events that are complete."""
         self._partial += data
--- a/packages/standins/src/ragwortpaddle_standins/relay_platform.py
+++ b/packages/standins/src/ragwortpaddle_standins/relay_platform.py
@@ -18,6 +18,7 @@
 EVENT_INTERVAL_SECONDS = 0.005
 STALL_DURATION_SECONDS = 2.0
 PAUSE_DURATION_SECONDS = 1.0
+TRICKLE_INTERVAL_SECONDS = 0.2
 # The system chooses the port; one chosen in advance may be in use by then.
 ANY_PORT_ADDRESS = "127.0.0.1:0"
 JSON_HEADERS = [(b"Content-Type", b"application/json")]
@@ -395,6 +396,7 @@
     highest_fence = 0
     accepted_order_count = 0
     load_seconds = 0.0
+    event_interval_seconds = EVENT_INTERVAL_SECONDS
     load_task: asyncio.Task[None] | None = None
 
     def __post_init__(self) -> None:
@@ -475,11 +477,22 @@
                 if self.fault == "torn" and number == self.event_count // 2:
                     await responder.write(event(number)[:7])
                     raise ConnectionResetError("injected fault: connection reset within an event")
+                if self.fault == "trickle" and number == self.event_count // 2:
+                    await self._send_without_end(responder, b"d", TRICKLE_INTERVAL_SECONDS)
+                if self.fault == "endless event" and number == self.event_count // 2:
+                    await self._send_without_end(responder, b"d" * 65536, 0.0)
                 await responder.write(event(number))
             await responder.finish()
         finally:
             self.running -= 1
 
+    @staticmethod
+    async def _send_without_end(responder: Responder, data: bytes, interval: float) -> None:
+        """Repeat bytes that complete no event until the caller disconnects."""
+        while True:
+            await responder.write(data)
+            await asyncio.sleep(interval)
+
     def _parse_path(self, path: str) -> list["Engine"]:
         """Return the engines of a path; record the path if it does not run every layer once."""
         stages = []
@@ -504,7 +517,7 @@
 
     async def _run_step(self, stages: list["Engine"], attempt_id: str) -> None:
         """Simulate the time of one step; stall and fail if a stage of the path is dark."""
-        await asyncio.sleep(EVENT_INTERVAL_SECONDS)
+        await asyncio.sleep(self.event_interval_seconds)
         for stage in stages:
             if stage.fault == "dark":
                 self.stalled_address_by_attempt[attempt_id] = stage.address
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -146,6 +146,28 @@
             body += data
         assert body == EVENT_STREAM
 
+    @pytest.mark.parametrize("fault", ["trickle", "endless event"])
+    async def test_bytes_that_complete_no_event_are_not_progress(
+        self, testbed: RelayTestBed, fault: str
+    ) -> None:
+        """The first engine sends bytes without end, one now and then or as fast as it can."""
+        connection = await testbed.send(b"POST", b"/ask/1", deadline=b"4000")
+        await connection.read_head()
+        stalled = next(e for e in testbed.engines if e.received_requests)
+        stalled.fault = fault
+        body = b""
+        while (data := await connection.read_body_part()) is not None:
+            body += data
+        assert body == EVENT_STREAM
+        await testbed.wait(lambda: not stalled.running, "end of the abandoned work")
+
+    async def test_slow_stream_with_whole_events_is_not_cut(self, testbed: RelayTestBed) -> None:
+        for engine in testbed.engines:
+            engine.event_interval_seconds = 0.4
+        head, body = await testbed.ask(b"POST", b"/ask/1", deadline=b"9000")
+        assert (head.status, body) == (200, EVENT_STREAM)
+        assert sum(engine.count_executions("a1") for engine in testbed.engines) == 1
+
     async def test_last_attempt_is_not_aborted_for_a_stall_without_a_faulty_engine(
         self, testbed
     ) -> None:
