Answer requests that have just arrived when a planned stop begins

Cause: by reading, a connection counted as idle until its request had been read whole, so stopping closed it together with a request that was in its buffer or still arriving; the caller saw a closed connection. The shutdown did not wait for such requests either. Change: a connection with any part of an unanswered request is not idle and counts as in flight.

--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_client.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_client.py
@@ -218,10 +218,11 @@
             sent_headers.append((b"Content-Type", content_type))
         if body or method not in ("GET", "DELETE"):
             sent_headers.append((b"Content-Length", str(len(body)).encode()))
+        deadline = asyncio.get_running_loop().time() + timeout_seconds
         connection = await self._pool.acquire(parts.netloc, fresh=fresh_connection)
         complete = False
         try:
-            async with asyncio.timeout(timeout_seconds):
+            async with asyncio.timeout_at(deadline):
                 await connection.send(method.encode(), target.encode(), sent_headers, body)
                 head = await connection.read_head()
                 reply = HttpReply(head.status, tuple(head.headers), await connection.read_body())
--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_server.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_server.py
@@ -95,12 +95,17 @@
     """A connection from a caller."""
 
     def __init__(self, server: "Http1Server", stream: ByteStream) -> None:
-        self.idle = True
         self._server = server
         self._stream = stream
+        self._has_request = False
         max_header_bytes = server.limits().max_header_bytes
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=max_header_bytes)
 
+    @property
+    def idle(self) -> bool:
+        """Return whether no part of a request has arrived since the last response."""
+        return not self._has_request and not self._stream.unread_bytes
+
     def add_close_header(self, headers: RawHeaders) -> RawHeaders:
         """Add ``Connection: close`` while the server is draining."""
         if self._server.draining:
@@ -131,8 +136,6 @@
         request = await self._read_request()
         if request is None:
             return False
-        self.idle = False
-        self._server.in_flight += 1
         handler_task = asyncio.create_task(self._server.handler(request, Responder(self)))
         self._stream.on_disconnect = handler_task.cancel
         try:
@@ -144,14 +147,13 @@
             return False
         finally:
             self._stream.on_disconnect = None
-            self._server.in_flight -= 1
-            self.idle = True
         if self._http.our_state is not h11.DONE:
             self._stream.abort()
             return False
         if self._server.draining or self._http.their_state is not h11.DONE:
             return False
         self._http.start_next_cycle()
+        self._has_request = bool(self._http.trailing_data[0])
         return True
 
     async def _read_request(self) -> ServerRequest | None:
@@ -161,6 +163,7 @@
                 event = await self._wait_for_request()
             if event is None:
                 return None
+            self._has_request = True
             async with asyncio.timeout(limits.header_timeout_seconds):
                 return await self._read_head_and_body(event, limits)
         except TimeoutError:
@@ -248,13 +251,17 @@
         self, listen: str, handler: Handler, limits: Callable[[], CallerLimits] = CallerLimits
     ) -> None:
         self.draining = False
-        self.in_flight = 0
         self.handler = handler
         self.limits = limits
         self.address = listen
         self._server: asyncio.Server | None = None
         self._task_by_connection: dict[_ServerConnection, asyncio.Task[None]] = {}
 
+    @property
+    def in_flight(self) -> int:
+        """Return the number of unanswered requests that have arrived, in part or whole."""
+        return sum(not connection.idle for connection in self._task_by_connection)
+
     async def start(self) -> None:
         """Start listening; raises ``OSError`` if the address cannot be bound.
 
@@ -272,7 +279,7 @@
         self.address = f"{host}:{self._server.sockets[0].getsockname()[1]}"
 
     def stop_accepting(self) -> None:
-        """Close the listener and the idle connections; running requests continue."""
+        """Close the listener and the idle connections; requests that have arrived continue."""
         if self._server is not None:
             self._server.close()
         for connection in list(self._task_by_connection):
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -147,6 +147,58 @@
         assert b"connection: close" in response.lower()
 
 
+class TestPlannedStop:
+    """Under load, requests arrive while the server stops accepting connections."""
+
+    REQUEST = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi"
+
+    @staticmethod
+    async def connect(http_server: Http1Server, address: str):
+        host, _, port = address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+            while not http_server._task_by_connection:
+                await asyncio.sleep(0.01)
+        (connection,) = http_server._task_by_connection
+        await asyncio.sleep(0.02)
+        return reader, writer, connection
+
+    async def test_request_that_has_just_arrived_is_answered(self, server, handler) -> None:
+        """Its bytes are in the buffer, but the connection's task has not run since."""
+        http_server, address = server
+        reader, _, connection = await self.connect(http_server, address)
+        connection._stream.data_received(self.REQUEST)
+        http_server.draining = True
+        http_server.stop_accepting()
+        assert http_server.in_flight == 1
+        async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+            assert (await reader.read()).endswith(b"hi")
+        assert [request.body for request in handler.requests] == [b"hi"]
+
+    async def test_request_that_is_still_arriving_is_answered(self, server) -> None:
+        http_server, address = server
+        reader, writer, _ = await self.connect(http_server, address)
+        writer.write(self.REQUEST[:-1])
+        async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+            while not http_server.in_flight:
+                await asyncio.sleep(0.01)
+        http_server.draining = True
+        http_server.stop_accepting()
+        writer.write(self.REQUEST[-1:])
+        async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+            assert (await reader.read()).endswith(b"hi")
+        assert http_server.in_flight == 0
+
+    async def test_idle_connection_is_closed(self, server) -> None:
+        http_server, address = server
+        reader, writer, _ = await self.connect(http_server, address)
+        writer.write(self.REQUEST)
+        await reader.readuntil(b"hi")
+        http_server.stop_accepting()
+        async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+            assert await reader.read() == b""
+
+
 class TestClient:
     async def test_reads_streamed_responses_over_one_reused_connection(self, server) -> None:
         _, address = server
