Keep the daemon's folder when a build changes nothing

Cause: deploy/build.sh removed and copied target/deps/ragwortpaddled on every build. Ruled out: memory (33 MB at the peak) and the daemon's own code (the traceback is an import at start). Change: the copy is replaced only if it differs from the source.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -6,5 +6,9 @@
         -c constraints.txt -r deploy/requirements.txt
     touch target/deps/.installed
 fi
-rm -rf target/deps/ragwortpaddled
-cp -r packages/ragwortpaddled/src/ragwortpaddled target/deps/ragwortpaddled
+# A build beside running daemons must not remove modules that they are about to import.
+source=packages/ragwortpaddled/src/ragwortpaddled
+if ! diff -rq -x __pycache__ "$source" target/deps/ragwortpaddled > /dev/null 2>&1; then
+    rm -rf target/deps/ragwortpaddled
+    cp -r "$source" target/deps/ragwortpaddled
+fi
