Log a request's content and prompt parts, and whether its endpoint crashed

The logs of the crashing prompt part could not tell repeated requests from new ones with the same part, nor a crash from a lost connection. Change: 'attempt sent' has a digest of the content and the shared prompt parts, 'attempt failed' has 'began', and a response that is lost before it began makes the daemon try a connection: 'endpoint crashed' or 'connection lost'. No decision depends on them.

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_endpoint_client.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_endpoint_client.py
@@ -10,6 +10,7 @@
     NotRunError,
     NotSentError,
     ReplyLostError,
+    ResponseLostError,
 )
 from ragwortpaddled.protocol import Dialect, ForwardingMetadata, PathRoute, RequestMetadata
 from ragwortpaddled.state import EndpointLoads
@@ -137,7 +138,7 @@
             await connection.send(request.method, request.target, headers, request.body)
             head = await connection.read_head()
         except ReplyLostError as error:
-            raise MaybeRunError(endpoint_id, str(error)) from error
+            raise ResponseLostError(endpoint_id, str(error)) from error
         response_metadata = self._dialect.parse_response_headers(head.status, head.headers)
         if response_metadata.running is not None:
             self._loads.record_reported_load(endpoint_id, response_metadata.running)
@@ -160,6 +161,15 @@
             raise MaybeRunError(endpoint_id, "response has an unsupported content encoding")
         return Response(connection, self.connections, head.status, head.headers)
 
+    async def accepts_connections(self, address: str) -> bool:
+        """Return whether an endpoint accepts a new connection: one that has crashed does not."""
+        try:
+            connection = await self.connections.acquire(address, fresh=True)
+        except NotSentError:
+            return False
+        connection.close()
+        return True
+
     async def run(self) -> None:
         """Close expired idle connections every second, for the life of the daemon."""
         while True:
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay.py
@@ -21,6 +21,7 @@
     NotRunError,
     RefusedError,
     ReplyLostError,
+    ResponseLostError,
     StalledError,
 )
 from ragwortpaddled.protocol import (
@@ -32,7 +33,13 @@
     RequestKind,
     RequestMetadata,
 )
-from ragwortpaddled.state import EventSplitter, PoolRetryBudget, RequestSize, select_pool
+from ragwortpaddled.state import (
+    EventSplitter,
+    PoolRetryBudget,
+    RequestSize,
+    fingerprint,
+    select_pool,
+)
 from ragwortpaddled.transport import Responder, ServerRequest
 
 # Callers abandon a stream that has not started within 2 s, even if their deadline is later.
@@ -162,6 +169,13 @@
         self._excluded_ids: set[str] = set()
         self._may_have_run = False
         self._possible_runs = 0
+        self._began = False  # the endpoint of the current attempt has begun to respond
+        self._fingerprint = fingerprint(
+            self.team.name if self.team else "",
+            self.request.target,
+            self.request.body,
+            self.metadata.prompt_parts,
+        )
 
     async def run(self) -> str:
         """Retry until a response is sent; return the outcome for the request counter.
@@ -194,6 +208,8 @@
                 self._record_failure(error, target)
             except MaybeRunError as error:
                 self._record_failure(error, target)
+                if isinstance(error, ResponseLostError) and not self._began:
+                    await self._check_for_crash(target)
                 self._may_have_run = True
                 self._possible_runs += 1
                 if not self.route.retryable:
@@ -224,9 +240,12 @@
         )
 
     async def _run_attempt(self, target: Target) -> None:
+        self._began = False
         _log(
             self.metadata,
             "attempt sent",
+            content=self._fingerprint.content,
+            prompt_parts=sorted(self._fingerprint.prompt_parts),
             endpoint=target.endpoint.id,
             path=[hop.endpoint_id for hop in target.path],
             considered=target.considered_count,
@@ -254,12 +273,24 @@
             else:
                 await self._relay_complete_response(response, target)
         except ReplyLostError as error:
-            raise MaybeRunError(target.endpoint.id, str(error)) from error
+            raise ResponseLostError(target.endpoint.id, str(error)) from error
         finally:
             response.close()
         self.dispatcher.record_success(target)
 
+    async def _check_for_crash(self, target: Target) -> None:
+        """Log whether the endpoint that lost the response has crashed."""
+        accepts = await self.endpoint_client.accepts_connections(target.endpoint.address)
+        _log(
+            self.metadata,
+            "connection lost" if accepts else "endpoint crashed",
+            endpoint=target.endpoint.id,
+            content=self._fingerprint.content,
+            prompt_parts=sorted(self._fingerprint.prompt_parts),
+        )
+
     async def _relay_complete_response(self, response: Response, target: Target) -> None:
+        self._began = True
         body = await response.read_all()
         if response.status >= 500 and self._may_retry:
             raise MaybeRunError(target.endpoint.id, f"response status {response.status}")
@@ -269,15 +300,14 @@
         _log(self.metadata, "response sent", status=response.status, since=self.started_at)
 
     async def _relay_stream(self, response: Response, target: Target) -> None:
-        accepted = False
         while True:
             events = await self._await_progress(
                 self._read_events(response, target), EVENT_TIMEOUT_SECONDS, target
             )
             if events is None:
                 break
-            if not accepted:
-                accepted = True
+            if not self._began:
+                self._began = True
                 self.dispatcher.record_acceptance(target)
             if not self.responder.started:
                 telemetry.first_event_seconds.record(time.monotonic() - self.started_at)
@@ -383,6 +413,7 @@
             endpoint=error.endpoint,
             reason=error.reason,
             not_run=isinstance(error, NotRunError),
+            began=self._began,
             suspect_ms=int(seconds * 1000),
             last_event=self._splitter.last_id,
             budget_left=int(self.retry_budget.remaining(self.pool.name)),
--- a/packages/ragwortpaddled/src/ragwortpaddled/errors.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/errors.py
@@ -103,6 +103,10 @@
     """An endpoint may have run a request, but returned no usable response."""
 
 
+class ResponseLostError(MaybeRunError):
+    """The endpoint closed the connection before its response was complete."""
+
+
 class StalledError(MaybeRunError):
     """A request made no progress; ``endpoint`` is the engine that caused it, or empty."""
 
--- a/packages/ragwortpaddled/src/ragwortpaddled/protocol/_relay.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/_relay.py
@@ -149,7 +149,10 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestMetadata:
-    """The values that a caller sent in dialect-specific headers."""
+    """The values that a caller sent in dialect-specific headers.
+
+    ``prompt_parts`` are the ids of the prompt's parts; prompts may share all but the last.
+    """
 
     attempt_id: str
     deadline_ms: float | None = None
@@ -158,6 +161,7 @@
     max_answer_tokens: int = 0
     expected_answer_tokens: float = 0.0
     last_event_id: str = ""
+    prompt_parts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/ragwortpaddled/src/ragwortpaddled/state/__init__.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/__init__.py
@@ -65,6 +65,7 @@
     object_key,
 )
 from ragwortpaddled.state._rendezvous import choose_by_rendezvous, rank_by_rendezvous
+from ragwortpaddled.state._request_fingerprint import RequestFingerprint, fingerprint
 from ragwortpaddled.state._route_table import RouteTable, select_pool
 from ragwortpaddled.state._shard import (
     MAX_HEAD_BYTES,
@@ -108,6 +109,7 @@
     "Priority",
     "Problem",
     "Release",
+    "RequestFingerprint",
     "RequestSize",
     "RetryBudgetBounds",
     "Route",
@@ -130,6 +132,7 @@
     "encode_object",
     "encode_release",
     "find_poison_contents",
+    "fingerprint",
     "format_object",
     "head_key",
     "history_key",
