--- a/packages/standins/src/ragwortpaddle_standins/relay_platform.py
+++ b/packages/standins/src/ragwortpaddle_standins/relay_platform.py
@@ -54,6 +54,12 @@
     return (request.header(b"x-attempt-id") or b"").decode()
 
 
+def prompt_parts_of(request: ServerRequest) -> list[str]:
+    """Return the ids of a request's prompt parts."""
+    value = (request.header(b"x-prompt-prefix") or b"").decode()
+    return [part.partition(":")[0] for part in value.split(",") if part]
+
+
 def configuration(version: int = 1, **changes: object) -> dict:
     """Return a configuration with two streaming routes, a safe and an unsafe one.
 
@@ -298,6 +304,7 @@
     public_address: str = ""
     fault: str = ""
     running: int = 0
+    incarnation: int = 1
 
     def __post_init__(self) -> None:
         self._server = Http1Server(ANY_PORT_ADDRESS, self._handle)
@@ -321,7 +328,7 @@
             "slots": self.slots,
             "state": state,
             "kind": self.kind,
-            "born": 1,
+            "born": self.incarnation,
         }
         if self.layers:
             spec["layers"] = {"from": self.layers[0], "target": self.layers[1], "version": 1}
@@ -388,7 +395,8 @@
     """An engine that holds layers, runs a path of pipeline stages and streams events.
 
     Faults: ``torn`` (resets the connection within an event) and ``dark`` (every path
-    through this engine stalls, then its connection is reset).
+    through this engine stalls, then its connection is reset). A request with a prompt part in
+    ``deadly_parts`` crashes the engine when it begins to run; the engine restarts without layers.
     """
 
     event_count = EVENT_COUNT
@@ -398,9 +406,13 @@
     load_seconds = 0.0
     event_interval_seconds = EVENT_INTERVAL_SECONDS
     load_task: asyncio.Task[None] | None = None
+    deadly_parts: frozenset[str] = frozenset()
+    restart_seconds = 0.3
+    restart_task: asyncio.Task[None] | None = None
 
     def __post_init__(self) -> None:
         super().__post_init__()
+        self.crash_times: list[float] = []  # seconds on the monotonic clock
         self.engine_by_address: dict[str, Engine] = {}
         self.stalled_address_by_attempt: dict[str, str] = {}
         self.invalid_paths: list[str] = []
@@ -419,6 +431,30 @@
         else:
             await self._stream(request, responder)
 
+    def stop(self) -> None:
+        """Stop for good, also while a restart is pending."""
+        if self.restart_task is not None:
+            self.restart_task.cancel()
+        super().stop()
+
+    def crash(self) -> None:
+        """End all connections and stop listening; restart later at the same address, empty."""
+        if self.restart_task is not None and not self.restart_task.done():
+            return
+        self.crash_times.append(time.monotonic())
+        address = self.address
+        super().stop()
+        self.layers = None
+        self.restart_task = asyncio.create_task(self._restart(address))
+
+    async def _restart(self, address: str) -> None:
+        await asyncio.sleep(self.restart_seconds)
+        self.incarnation += 1
+        self.accepted_order_count = 0
+        self._server = Http1Server(address, self._handle)
+        await self._server.start()
+        self.register()
+
     async def _report(self, responder: Responder) -> None:
         stalled = [{"id": i, "address": a} for i, a in self.stalled_address_by_attempt.items()]
         busy = self.load_task is not None and not self.load_task.done()
@@ -466,6 +502,11 @@
         stages = self._parse_path(path)
         attempt_id = attempt_id_of(request)
         self._record_request(request)
+        if self.deadly_parts.intersection(prompt_parts_of(request)):
+            await responder.start(200, self._response_headers(request))
+            await asyncio.sleep(self.event_interval_seconds)
+            self.crash()
+            raise ConnectionResetError("injected fault: the request crashes the engine")
         first_event = int(request.header(b"last-event-id") or b"0") + 1
         await responder.start(200, self._response_headers(request))
         self.running += 1
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -76,10 +76,15 @@
             await asyncio.sleep(0.01)
 
     async def send(
-        self, method: bytes, path: bytes, attempt: bytes = b"a1", **headers: bytes
+        self,
+        method: bytes,
+        path: bytes,
+        attempt: bytes = b"a1",
+        daemon: RelayDaemon | None = None,
+        **headers: bytes,
     ) -> Http1Connection:
-        """Send a request on a new connection and return the connection."""
-        connection = await self.pool.acquire(self.daemon.address, fresh=True)
+        """Send a request on a new connection, to the first daemon by default; return it."""
+        connection = await self.pool.acquire((daemon or self.daemon).address, fresh=True)
         key = headers.pop("key", API_KEY)
         sent = caller_headers(attempt, key=key, deadline_ms=headers.pop("deadline", b"5000"))
         sent += [(name.replace("_", "-").encode(), value) for name, value in headers.items()]
@@ -87,10 +92,15 @@
         return connection
 
     async def ask(
-        self, method: bytes, path: bytes, attempt: bytes = b"a1", **headers: bytes
+        self,
+        method: bytes,
+        path: bytes,
+        attempt: bytes = b"a1",
+        daemon: RelayDaemon | None = None,
+        **headers: bytes,
     ) -> tuple[ResponseHead, bytes]:
         """Send a request and return the head and the body of its response."""
-        connection = await self.send(method, path, attempt, **headers)
+        connection = await self.send(method, path, attempt, daemon, **headers)
         head = await connection.read_head()
         body = b""
         while (data := await connection.read_body_part()) is not None:
