Quarantine prompt parts and requests that crash endpoints, over all daemons

Callers saw: their streams ended with 502 or were refused for seconds, since requests of one kind crashed the first engine of one chain after the other.

Cause: on the platform's path nothing remembered that a request had crashed an endpoint. Each one was sent to two engines, its caller sent it again, and new requests with the same prompt part did the same. The quarantine of the product's own interface knows only whole requests, and is not wired into the relay. Class: a retry moves a fault that travels with the request from endpoint to endpoint. Ruled out: overload (1 to 46 requests waited at a crash).

Change: a daemon that loses a response before it began tries a connection; if that fails, it records the crash with the traits of the request (digest of the content, prompt parts without the last). Records are merged by gossip, at once after a change. A trait that has run since, anywhere, is cleared of the crash, and an endpoint seen alive clears the record. The trait that explains most crashes is refused with 503 and Retry-After, before the queue and again before sending: 10 s after two crashes, 80 s after three, up to 600 s. Traits that occur beside it in each crash are told apart by letting through requests with only one of them. The records are kept in the store for a start of all daemons.

--- a/packages/ragwortpaddled/src/ragwortpaddled/_relay_daemon.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/_relay_daemon.py
@@ -13,6 +13,7 @@
 from ragwortpaddled._logs import start_stdout_logging
 from ragwortpaddled._relay_settings import RelaySettings, load_relay_settings
 from ragwortpaddled.coordination import (
+    CrashTracker,
     Dispatcher,
     EndpointClient,
     EngineReports,
@@ -24,7 +25,7 @@
 )
 from ragwortpaddled.errors import SettingsError
 from ragwortpaddled.protocol import Dialect, PlatformClient, StoreDialect
-from ragwortpaddled.state import PoolRetryBudget, RetryBudgetBounds
+from ragwortpaddled.state import CrashCause, PoolRetryBudget, RetryBudgetBounds
 from ragwortpaddled.transport import (
     CallerLimits,
     Http1Client,
@@ -65,6 +66,7 @@
         self._layer_placer = LayerPlacer(
             self._relay_directory, platform, http, dialect, reports, holder
         )
+        self._crash_tracker = CrashTracker(self._endpoint_client, platform, random_source)
         retry = settings.retry
         bounds = RetryBudgetBounds(retry.ratio, retry.slack, retry.window_seconds)
         retry_budget = PoolRetryBudget(bounds, random_source)
@@ -73,6 +75,7 @@
             platform,
             retry_budget,
             self._layer_placer,
+            self._crash_tracker,
             section.name,
             section.peer_listen,
             random_source,
@@ -82,6 +85,7 @@
             self._dispatcher,
             self._endpoint_client,
             StallLocator(reports),
+            self._crash_tracker,
             retry_budget,
             dialect,
             random_source,
@@ -113,6 +117,11 @@
         """Return the names of the peers that responded to the last exchange."""
         return self._peers.reachable
 
+    @property
+    def active_quarantines(self) -> list[CrashCause]:
+        """Return the quarantines that are in force."""
+        return self._crash_tracker.records.causes()
+
     async def run(self) -> None:
         """Serve until a stop is requested, then shut down gracefully."""
         loop = asyncio.get_running_loop()
@@ -136,6 +145,7 @@
             self._peers.run,
             self._dispatcher.run,
             self._endpoint_client.run,
+            self._crash_tracker.run,
             self._watch_settings,
         ):
             self._start_task(task_function)
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/__init__.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/__init__.py
@@ -7,6 +7,7 @@
     choose_chain,
     covers_all_layers,
 )
+from ragwortpaddled.coordination._crash_tracker import CrashTracker
 from ragwortpaddled.coordination._dispatcher import Dispatcher, DispatchRequest, Target
 from ragwortpaddled.coordination._endpoint_client import EndpointClient
 from ragwortpaddled.coordination._endpoint_directory import EndpointDirectory
@@ -42,6 +43,7 @@
 __all__ = [
     "AdmissionController",
     "ChainContext",
+    "CrashTracker",
     "DispatchRequest",
     "Dispatcher",
     "EndpointClient",
--- /dev/null
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_crash_tracker.py
@@ -0,0 +1,240 @@
+"""Quarantines what crashes endpoints: requests with the same content or the same prompt part.
+
+Gossip carries the crash records, so that every daemon finds the same causes. Records that explain a
+quarantine are also kept in the store, for daemons that start when no other one is left.
+"""
+
+import asyncio
+import hashlib
+import logging
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+
+from ragwortpaddled import telemetry
+from ragwortpaddled.coordination._endpoint_client import EndpointClient
+from ragwortpaddled.errors import PlatformError, RefusedError, VersionConflictError
+from ragwortpaddled.protocol import ABSENT_VERSION, CrashReport, EndpointEntry, PlatformClient
+from ragwortpaddled.state import (
+    RECORD_TTL_SECONDS,
+    CrashCause,
+    CrashRecords,
+    RequestFingerprint,
+)
+
+QUARANTINES_PREFIX = "quarantines/"
+PURPOSE = "quarantines"
+SYNC_INTERVAL_SECONDS = 0.25
+STORE_RETRY_SECONDS = 1.0
+
+logger = logging.getLogger(__name__)
+
+
+class _StoredQuarantine(msgspec.Struct, frozen=True):
+    """The crash records behind a quarantine; ``saved_at`` is in seconds since the epoch."""
+
+    saved_at: float
+    crashes: list[CrashReport]
+
+    def current_reports(self) -> list[CrashReport]:
+        """Return the records with their age at present, without the expired ones."""
+        age_ms = max(0, int((time.time() - self.saved_at) * 1000))
+        aged = [msgspec.structs.replace(r, age_ms=r.age_ms + age_ms) for r in self.crashes]
+        return [report for report in aged if report.age_ms < RECORD_TTL_SECONDS * 1000]
+
+
+@dataclass(frozen=True, slots=True)
+class _SavedQuarantine:
+    """The version of a quarantine in the store, and the crashes that it lists."""
+
+    version: int
+    crash_keys: tuple[str, ...]
+
+
+class CrashTracker:
+    """Records crashes of endpoints, and refuses requests that match a cause of them."""
+
+    def __init__(
+        self,
+        endpoint_client: EndpointClient,
+        platform: PlatformClient,
+        random_source: random.Random,
+    ) -> None:
+        self.records = CrashRecords()
+        self._endpoint_client = endpoint_client
+        self._platform = platform
+        self._random = random_source
+        self._change_listeners: list[Callable[[], None]] = []
+        self._own_crash_keys: set[str] = set()
+        self._active_by_name: dict[str, CrashCause] = {}
+        self._saved_by_name: dict[str, _SavedQuarantine] = {}
+
+    def add_change_listener(self, listener: Callable[[], None]) -> None:
+        """Call a listener after each change of the records that peers should learn at once."""
+        self._change_listeners.append(listener)
+
+    async def admit(self, fingerprint: RequestFingerprint) -> None:
+        """Refuse a quarantined request; let a likely cause wait until the evidence has settled.
+
+        :raises RefusedError: the request matches a cause of crashes
+        """
+        seconds = self.records.unsettled_seconds(fingerprint)
+        if seconds:
+            await asyncio.sleep(seconds)
+        self.refuse_if_quarantined(fingerprint)
+
+    def refuse_if_quarantined(self, fingerprint: RequestFingerprint) -> None:
+        """Refuse a request that matches a cause of crashes.
+
+        :raises RefusedError: the request is quarantined
+        """
+        cause = self.records.find_cause(fingerprint)
+        if cause is None:
+            return
+        raise RefusedError(
+            503,
+            f"requests of this kind crashed {len(cause.crash_keys)} endpoints",
+            cause.until - time.monotonic(),
+            quarantined=cause.trait,
+            companions=sorted(cause.companions),
+        )
+
+    async def record_lost_response(
+        self, endpoint: EndpointEntry, fingerprint: RequestFingerprint
+    ) -> bool:
+        """Record a response that was lost before it began; return whether the endpoint crashed."""
+        if await self._endpoint_client.accepts_connections(endpoint.address):
+            return False
+        key = _crash_key(endpoint)
+        self._own_crash_keys.add(key)
+        self.records.record_crash(key, fingerprint)
+        telemetry.endpoint_crashes.add(1)
+        self._notify_listeners()
+        return True
+
+    def record_run(
+        self, endpoint: EndpointEntry, fingerprint: RequestFingerprint, sent_at: float
+    ) -> None:
+        """Record that an endpoint has begun to answer a request, which is therefore innocent."""
+        if self.records.record_run(_crash_key(endpoint), fingerprint, sent_at):
+            self._notify_listeners()
+
+    def merge(self, reports: list[CrashReport]) -> None:
+        """Merge the records of a peer."""
+        if self.records.merge(reports):
+            self._notify_listeners()
+
+    async def run(self) -> None:
+        """Load the stored quarantines, then keep the store and the log up to date."""
+        while not await self._load():
+            await asyncio.sleep(STORE_RETRY_SECONDS * self._random.uniform(0.5, 1.0))
+        while True:
+            await asyncio.sleep(SYNC_INTERVAL_SECONDS)
+            self._update_active()
+            if not await self._save():
+                await asyncio.sleep(STORE_RETRY_SECONDS * self._random.uniform(0.5, 1.0))
+
+    def _update_active(self) -> None:
+        active_by_name = {_cause_name(cause): cause for cause in self.records.causes()}
+        for name, cause in active_by_name.items():
+            previous = self._active_by_name.get(name)
+            if previous is None or previous.crash_keys != cause.crash_keys:
+                _log_cause("quarantine started", cause)
+        for name, cause in self._active_by_name.items():
+            if name not in active_by_name:
+                _log_cause("quarantine ended", cause)
+        self._active_by_name = active_by_name
+        self._own_crash_keys &= self.records.record_by_key.keys()
+
+    async def _load(self) -> bool:
+        """Merge the stored quarantines; return whether the store answered."""
+        try:
+            stored_list = await self._platform.list_objects(QUARANTINES_PREFIX, PURPOSE)
+        except PlatformError as error:
+            _log_store_failure("load", error)
+            return False
+        for stored in stored_list.objects:
+            try:
+                quarantine = msgspec.json.decode(stored.value, type=_StoredQuarantine)
+            except msgspec.MsgspecError as error:
+                fields = {"key": stored.key, "reason": str(error)}
+                logger.warning("malformed quarantine ignored", extra={"fields": fields})
+                continue
+            name = stored.key.removeprefix(QUARANTINES_PREFIX)
+            keys = tuple(report.key for report in quarantine.crashes)
+            self._saved_by_name[name] = _SavedQuarantine(stored.version, keys)
+            self.merge(quarantine.current_reports())
+        return True
+
+    async def _save(self) -> bool:
+        """Write new and delete ended quarantines; return whether the store took all of them.
+
+        Only the daemons that reported the last crash write: usually the one that sent the request.
+        """
+        try:
+            for name, cause in self._active_by_name.items():
+                saved = self._saved_by_name.get(name)
+                is_saved = saved is not None and set(saved.crash_keys) >= set(cause.crash_keys)
+                if not is_saved and self._reported_last_crash(cause):
+                    await self._write(name, cause, saved.version if saved else ABSENT_VERSION)
+            for name in self._saved_by_name.keys() - self._active_by_name.keys():
+                await self._delete(name)
+        except PlatformError as error:
+            _log_store_failure("save", error)
+            return False
+        return True
+
+    def _reported_last_crash(self, cause: CrashCause) -> bool:
+        records = self.records.record_by_key
+        keys = [key for key in cause.crash_keys if key in records]
+        last_key = max(keys, key=lambda key: records[key].at, default="")
+        return last_key in self._own_crash_keys
+
+    async def _write(self, name: str, cause: CrashCause, expected: int) -> None:
+        quarantine = _StoredQuarantine(time.time(), self.records.reports(cause.crash_keys))
+        value = msgspec.json.encode(quarantine).decode()
+        key = QUARANTINES_PREFIX + name
+        try:
+            version = await self._platform.put(key, value, expected, PURPOSE)
+        except VersionConflictError as error:
+            version = await self._platform.put(key, value, error.current, PURPOSE)
+        self._saved_by_name[name] = _SavedQuarantine(version, cause.crash_keys)
+
+    async def _delete(self, name: str) -> None:
+        try:
+            key = QUARANTINES_PREFIX + name
+            await self._platform.delete(key, self._saved_by_name[name].version, PURPOSE)
+        except VersionConflictError:
+            logger.info("ended quarantine was deleted or written by another daemon")
+        del self._saved_by_name[name]
+
+    def _notify_listeners(self) -> None:
+        for listener in self._change_listeners:
+            listener()
+
+
+def _crash_key(endpoint: EndpointEntry) -> str:
+    return f"{endpoint.id}/{endpoint.incarnation}"
+
+
+def _cause_name(cause: CrashCause) -> str:
+    return hashlib.blake2b(cause.trait.encode(), digest_size=8).hexdigest()
+
+
+def _log_cause(event: str, cause: CrashCause) -> None:
+    fields = {
+        "trait": cause.trait,
+        "companions": sorted(cause.companions),
+        "crashes": sorted(cause.crash_keys),
+        "remaining_ms": int((cause.until - time.monotonic()) * 1000),
+    }
+    logger.warning(event, extra={"fields": fields})
+
+
+def _log_store_failure(step: str, error: PlatformError) -> None:
+    logger.warning(
+        "quarantines not stored, retrying", extra={"fields": {"step": step, "reason": str(error)}}
+    )
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay.py
@@ -10,6 +10,7 @@
 from urllib.parse import urlsplit
 
 from ragwortpaddled import telemetry
+from ragwortpaddled.coordination._crash_tracker import CrashTracker
 from ragwortpaddled.coordination._dispatcher import Dispatcher, DispatchRequest, Target
 from ragwortpaddled.coordination._endpoint_client import EndpointClient, Response
 from ragwortpaddled.coordination._relay_directory import RelayDirectory
@@ -69,6 +70,7 @@
         dispatcher: Dispatcher,
         endpoint_client: EndpointClient,
         stall_locator: StallLocator,
+        crash_tracker: CrashTracker,
         retry_budget: PoolRetryBudget,
         dialect: Dialect,
         random_source: random.Random,
@@ -77,6 +79,7 @@
         self._dispatcher = dispatcher
         self._endpoint_client = endpoint_client
         self._stall_locator = stall_locator
+        self._crash_tracker = crash_tracker
         self._retry_budget = retry_budget
         self._dialect = dialect
         self._random = random_source
@@ -126,6 +129,7 @@
             dispatcher=self._dispatcher,
             endpoint_client=self._endpoint_client,
             stall_locator=self._stall_locator,
+            crash_tracker=self._crash_tracker,
             retry_budget=self._retry_budget,
             request=request,
             metadata=metadata,
@@ -153,6 +157,7 @@
     dispatcher: Dispatcher
     endpoint_client: EndpointClient
     stall_locator: StallLocator
+    crash_tracker: CrashTracker
     retry_budget: PoolRetryBudget
     request: ServerRequest
     metadata: RequestMetadata
@@ -193,23 +198,26 @@
         sends = 0
         while True:
             try:
+                await self.crash_tracker.admit(self._fingerprint)
                 target = await self.dispatcher.acquire(self._dispatch_request())
             except RefusedError as refusal:
-                if not self._may_have_run:
-                    raise
-                return await self._end_with_error(502, refusal.reason)
+                return await self._end_refused(refusal)
             sends += 1
             telemetry.place_wait_seconds.record(target.waited_seconds, {"pool": self.pool.name})
             try:
+                # The request may have been quarantined while it was queued.
+                self.crash_tracker.refuse_if_quarantined(self._fingerprint)
                 await self._run_attempt(target)
                 telemetry.attempts.add(1, {"result": "answered"})
                 return "served"
+            except RefusedError as refusal:
+                return await self._end_refused(refusal)
             except NotRunError as error:
                 self._record_failure(error, target)
             except MaybeRunError as error:
                 self._record_failure(error, target)
                 if isinstance(error, ResponseLostError) and not self._began:
-                    await self._check_for_crash(target)
+                    await self._record_lost_response(target)
                 self._may_have_run = True
                 self._possible_runs += 1
                 if not self.route.retryable:
@@ -278,19 +286,22 @@
             response.close()
         self.dispatcher.record_success(target)
 
-    async def _check_for_crash(self, target: Target) -> None:
-        """Log whether the endpoint that lost the response has crashed."""
-        accepts = await self.endpoint_client.accepts_connections(target.endpoint.address)
+    async def _record_lost_response(self, target: Target) -> None:
+        crashed = await self.crash_tracker.record_lost_response(target.endpoint, self._fingerprint)
         _log(
             self.metadata,
-            "connection lost" if accepts else "endpoint crashed",
+            "endpoint crashed" if crashed else "connection lost",
             endpoint=target.endpoint.id,
             content=self._fingerprint.content,
             prompt_parts=sorted(self._fingerprint.prompt_parts),
         )
 
-    async def _relay_complete_response(self, response: Response, target: Target) -> None:
+    def _record_began(self, target: Target) -> None:
         self._began = True
+        self.crash_tracker.record_run(target.endpoint, self._fingerprint, target.reserved_at)
+
+    async def _relay_complete_response(self, response: Response, target: Target) -> None:
+        self._record_began(target)
         body = await response.read_all()
         if response.status >= 500 and self._may_retry:
             raise MaybeRunError(target.endpoint.id, f"response status {response.status}")
@@ -307,7 +318,7 @@
             if events is None:
                 break
             if not self._began:
-                self._began = True
+                self._record_began(target)
                 self.dispatcher.record_acceptance(target)
             if not self.responder.started:
                 telemetry.first_event_seconds.record(time.monotonic() - self.started_at)
@@ -419,6 +430,15 @@
             budget_left=int(self.retry_budget.remaining(self.pool.name)),
         )
 
+    async def _end_refused(self, refusal: RefusedError) -> str:
+        """Pass on a refusal, unless an endpoint may have run the request before.
+
+        :raises RefusedError: no endpoint ran the request
+        """
+        if not self._may_have_run:
+            raise refusal
+        return await self._end_with_error(502, refusal.reason)
+
     async def _end_with_error(self, status: int, reason: str) -> str:
         """End with an error; a 503 guarantees that no endpoint ran the request."""
         if self.responder.started:
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_peers.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_peers.py
@@ -9,10 +9,12 @@
 import logging
 import random
 import secrets
+import time
 from collections.abc import Awaitable, Callable
 
 import msgspec
 
+from ragwortpaddled.coordination._crash_tracker import CrashTracker
 from ragwortpaddled.coordination._layer_placer import LayerPlacer
 from ragwortpaddled.coordination._object_watcher import ObjectWatcher
 from ragwortpaddled.coordination._peer_links import PeerLinks
@@ -42,6 +44,8 @@
 GOSSIP_INTERVAL_SECONDS = 0.4  # a configuration reaches 9 daemons in 2 or 3 rounds
 GOSSIP_FANOUT = 2
 EXCHANGE_TIMEOUT_SECONDS = 0.5
+MIN_ROUND_INTERVAL_SECONDS = 0.1  # between rounds that news of crashes starts
+CRASH_PUSH_SECONDS = 2.0  # records that changed before are only sent on request
 JOIN_RETRY_SECONDS = 1.0
 DAEMON_WATCH_PAUSE_SECONDS = 1.0  # a joining daemon contacts the others itself
 
@@ -61,6 +65,7 @@
         platform: PlatformClient,
         retry_budget: PoolRetryBudget,
         layer_placer: LayerPlacer,
+        crash_tracker: CrashTracker,
         name: str,
         listen: str,
         random_source: random.Random,
@@ -69,6 +74,7 @@
         self._platform = platform
         self._retry_budget = retry_budget
         self._layer_placer = layer_placer
+        self._crash_tracker = crash_tracker
         self._name = name
         self._listen = listen
         self._address = listen
@@ -88,6 +94,9 @@
             watch_pause_seconds=DAEMON_WATCH_PAUSE_SECONDS,
         )
         self._exchange_tasks: set[asyncio.Task[None]] = set()
+        self._last_round_at = 0.0
+        self._round_timer: asyncio.TimerHandle | None = None
+        crash_tracker.add_change_listener(self._gossip_soon)
 
     @property
     def reachable(self) -> set[str]:
@@ -115,6 +124,8 @@
 
     async def close(self) -> None:
         """Remove this daemon's entry from the store and close the connections."""
+        if self._round_timer is not None:
+            self._round_timer.cancel()
         for task in self._exchange_tasks:
             task.cancel()
         if self._server is not None:
@@ -187,7 +198,20 @@
             len(set(self._address_by_name) - self._unreachable) + 1
         )
 
+    def _gossip_soon(self) -> None:
+        """Start a round at once, or as soon as ``MIN_ROUND_INTERVAL_SECONDS`` allow it."""
+        if self._round_timer is not None:
+            return
+        delay = self._last_round_at + MIN_ROUND_INTERVAL_SECONDS - time.monotonic()
+        self._round_timer = asyncio.get_running_loop().call_later(
+            max(0.0, delay), self._start_gossip_round
+        )
+
     def _start_gossip_round(self) -> None:
+        self._last_round_at = time.monotonic()
+        if self._round_timer is not None:
+            self._round_timer.cancel()
+            self._round_timer = None
         names = sorted(self._address_by_name)
         for name in self._random.sample(names, min(GOSSIP_FANOUT, len(names))):
             task = asyncio.create_task(self._exchange(name, self._address_by_name[name]))
@@ -196,7 +220,9 @@
 
     async def _exchange(self, name: str, address: str) -> None:
         try:
-            reply = await self._links.request(address, self._own_state(), EXCHANGE_TIMEOUT_SECONDS)
+            recent = time.monotonic() - CRASH_PUSH_SECONDS
+            state = self._own_state(with_crashes=self._crash_tracker.records.changed_at > recent)
+            reply = await self._links.request(address, state, EXCHANGE_TIMEOUT_SECONDS)
         except TransportError as error:
             self._reachable.discard(name)
             if name not in self._unreachable:
@@ -231,8 +257,10 @@
         )
         if message.places_layers:
             self._layer_placer.record_peer_holder()
+        self._crash_tracker.merge(message.crashes)
 
-    def _own_state(self) -> RelayNews:
+    def _own_state(self, *, with_crashes: bool) -> RelayNews:
+        crash_records = self._crash_tracker.records
         config = self._relay_directory.config
         return RelayNews(
             self._name,
@@ -246,6 +274,8 @@
             ],
             self._relay_directory.endpoint_watcher.changes_wanted_after,
             dict(self._relay_directory.loads.own_requests_by_pool),
+            crash_records.digest,
+            crash_records.reports() if with_crashes else [],
         )
 
     async def _handle_message(self, body: bytes) -> bytes:
@@ -255,7 +285,9 @@
                 f"unexpected message type {type(message).__name__}, expected RelayNews"
             )
         self._merge_peer_state(message)
-        own_state = self._own_state()
+        own_state = self._own_state(
+            with_crashes=message.crash_digest != self._crash_tracker.records.digest
+        )
         config = (
             self._relay_directory.config_value
             if own_state.config_version > message.config_version
--- a/packages/ragwortpaddled/src/ragwortpaddled/protocol/_peers.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/_peers.py
@@ -65,10 +65,25 @@
     judgements: list[ChangeResult | None]
 
 
+class CrashReport(msgspec.Struct, frozen=True):
+    """One crash of an endpoint, and what is known of the requests that may have caused it.
+
+    ``requests`` holds the traits of each request by its content.
+    """
+
+    key: str
+    age_ms: int
+    requests: dict[str, list[str]] = {}
+    innocent: list[str] = []
+    known: list[str] = []
+    resolved: bool = False
+
+
 class RelayNews(msgspec.Struct, frozen=True, tag="relay_news"):
     """The state of a relay daemon: configuration version, load by endpoint, suspected endpoints.
 
-    ``endpoints_after`` requests the endpoint changes after that revision of the store.
+    ``endpoints_after`` requests the endpoint changes after that revision of the store. A receiver
+    whose crash records have another digest includes them in its reply.
     """
 
     name: str
@@ -79,6 +94,8 @@
     link_bits: list[tuple[list[str], float]] = []
     endpoints_after: int = 0
     requests_by_pool: dict[str, int] = {}
+    crash_digest: int = 0
+    crashes: list[CrashReport] = []
 
 
 class RelayNewsReply(msgspec.Struct, frozen=True, tag="relay_news_reply"):
--- a/packages/ragwortpaddled/src/ragwortpaddled/state/__init__.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/__init__.py
@@ -6,6 +6,13 @@
     Crash,
     find_poison_contents,
 )
+from ragwortpaddled.state._crash_records import (
+    RECORD_TTL_SECONDS,
+    CrashCause,
+    CrashRecord,
+    CrashRecords,
+    find_causes,
+)
 from ragwortpaddled.state._endpoint_loads import EndpointLoad, EndpointLoads
 from ragwortpaddled.state._endpoints import Circuit, CircuitState, Endpoint, EndpointTable
 from ragwortpaddled.state._event_splitter import EventSplitter
@@ -85,12 +92,16 @@
     "MAX_RECORDED_BODY_BYTES",
     "NO_UNREPORTED_LOAD",
     "OBJECTS_PREFIX",
+    "RECORD_TTL_SECONDS",
     "RELEASE_KEY",
     "TYPE_BY_KIND",
     "Chain",
     "Circuit",
     "CircuitState",
     "Crash",
+    "CrashCause",
+    "CrashRecord",
+    "CrashRecords",
     "Endpoint",
     "EndpointLoad",
     "EndpointLoads",
@@ -131,6 +142,7 @@
     "diff_objects",
     "encode_object",
     "encode_release",
+    "find_causes",
     "find_poison_contents",
     "fingerprint",
     "format_object",
--- a/packages/ragwortpaddled/src/ragwortpaddled/telemetry.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/telemetry.py
@@ -74,6 +74,10 @@
 platform_calls = _meter.create_counter(
     "ragwortpaddle_platform_calls", description="Calls to the platform by purpose and result"
 )
+endpoint_crashes = _meter.create_counter(
+    "ragwortpaddle_endpoint_crashes",
+    description="Requests that an endpoint had not begun to answer when it crashed",
+)
 cut_requests = _meter.create_counter(
     "ragwortpaddle_cut_requests", description="Requests cut off by the shutdown bound"
 )
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -9,7 +9,7 @@
 from ragwortpaddle_standins.relay_platform import EVENT_STREAM, prompt_parts_of
 from ragwortpaddled.errors import ReplyLostError
 from ragwortpaddled.relay import RelayDaemon
-from relay_fleet import RelayTestBed
+from relay_fleet import WAIT_SECONDS, RelayTestBed
 
 DEADLY_PART = "deadly"
 CRASHES_BEFORE_BOUND = 5
@@ -56,6 +56,21 @@
             for request, at in zip(engine.received_requests, engine.received_at, strict=True)
         )
 
+    async def quarantine(self, part: str) -> None:
+        """Send requests with a deadly part until all daemons have a quarantine of it."""
+        deadline = time.monotonic() + WAIT_SECONDS
+        while not all(self.has_quarantine(daemon, part) for daemon in self.daemons):
+            assert time.monotonic() < deadline, f"part {part} is not quarantined"
+            await self.ask("shared", part)
+            await self.ask("shared")
+        await self.testbed.wait(self.all_layers_held, "layers")
+
+    def has_quarantine(self, daemon: RelayDaemon, part: str) -> bool:
+        return any(c.trait == f"part/{part}" for c in daemon.active_quarantines)
+
+    def all_layers_held(self) -> bool:
+        return all(engine.layers for engine in self.testbed.engines)
+
     async def send_deadly_requests(self, seconds: float, *parts: str) -> None:
         """Send requests with deadly parts at a fixed interval, each on its own."""
         tasks = []
@@ -87,3 +102,82 @@
         times = fleet.crash_times[:CRASHES_BEFORE_BOUND]
         after = fleet.count_received(DEADLY_PART, after=times[-1] + CONTACT_SECONDS)
         assert after <= MAX_REQUESTS_AFTER_BOUND
+
+    async def test_sound_requests_of_the_same_caller_are_served(self, fleet: Fleet) -> None:
+        """They share the caller and the first part with those that crash engines."""
+        await fleet.quarantine(DEADLY_PART)
+        for _ in range(6):
+            assert await fleet.ask("shared", "sound") == 200
+            assert await fleet.ask("shared", DEADLY_PART) == 503
+            assert await fleet.ask("shared") == 200
+
+    async def test_two_parts_at_once_are_told_apart(self, fleet: Fleet) -> None:
+        for engine in fleet.testbed.engines:
+            engine.deadly_parts = frozenset({DEADLY_PART, "other"})
+        await asyncio.gather(fleet.quarantine(DEADLY_PART), fleet.quarantine("other"))
+        await fleet.testbed.wait(fleet.all_layers_held, "layers")
+        assert await fleet.ask("shared", "sound") == 200
+
+    async def test_daemon_that_starts_during_an_outage_of_the_store_refuses_the_part(
+        self, fleet: Fleet
+    ) -> None:
+        """It learns the quarantine from its peers, whose addresses it has listed before."""
+        await fleet.quarantine(DEADLY_PART)
+        daemon = await fleet.testbed.start_daemon("entry-4", fleet.testbed.store.address)
+        await fleet.testbed.wait(lambda: daemon.reachable_peers, "peers")
+        fleet.testbed.store.unavailable = True
+        received = fleet.count_received(DEADLY_PART)
+        assert await fleet.ask("shared", DEADLY_PART, daemon=daemon) == 503
+        assert fleet.count_received(DEADLY_PART) == received
+        fleet.testbed.store.unavailable = False
+        await daemon.shutdown()
+
+    async def test_quarantine_outlives_a_restart_of_all_daemons(self, fleet: Fleet) -> None:
+        await fleet.quarantine(DEADLY_PART)
+        await fleet.testbed.wait(
+            lambda: any(k.startswith("quarantines/") for k in fleet.testbed.store.object_by_key),
+            "quarantine in the store",
+        )
+        for daemon in fleet.daemons:
+            await daemon.shutdown()
+        received = fleet.count_received(DEADLY_PART)
+        testbed = fleet.testbed
+        daemon = testbed.daemon = await testbed.start_daemon("entry-5", testbed.store.address)
+        fleet.daemons[:] = [daemon]
+        await testbed.wait(lambda: fleet.has_quarantine(daemon, DEADLY_PART), "quarantine")
+        assert await fleet.ask("shared", DEADLY_PART) == 503
+        assert fleet.count_received(DEADLY_PART) == received
+
+
+class TestRequestThatCrashesEngines:
+    async def test_repeated_request_stops_reaching_engines(self, fleet: Fleet) -> None:
+        """The same request came again and again, at any daemon, and crashed an engine each time."""
+        for engine in fleet.testbed.engines:
+            engine.deadly_parts = frozenset({"own"})
+        for number in range(12):
+            await fleet.testbed.wait(fleet.all_layers_held, "layers")
+            daemon = fleet.daemons[number % len(fleet.daemons)]
+            try:
+                await fleet.testbed.ask(
+                    b"POST",
+                    b"/ask/1",
+                    b"r%d" % number,
+                    daemon=daemon,
+                    x_prompt_prefix=b"a:40,own:9",
+                )
+            except ReplyLostError:
+                continue
+        assert len(fleet.crash_times) <= MAX_REQUESTS_AFTER_BOUND
+        assert await fleet.ask("a") == 200
+
+
+class TestOrdinaryCrash:
+    async def test_parts_of_requests_on_crashed_engines_are_served(self, fleet: Fleet) -> None:
+        for _ in range(3):
+            requests = [asyncio.create_task(fleet.ask("shared", "rare")) for _ in range(4)]
+            await asyncio.sleep(0.005)
+            for engine in fleet.testbed.engines[:2]:
+                engine.crash()
+            await asyncio.gather(*requests)
+            await fleet.testbed.wait(fleet.all_layers_held, "layers")
+        assert await fleet.ask("shared", "rare") == 200
