Resume a stream without length or chunks that ends before its first event

Callers could see: status 200 with an empty body, for an engine that ended before it began to write. Cause: a body with neither a length nor chunks ends with its connection, so a crash in front of the first event looked like a complete, empty stream. Found by a test for the users' new line on such streams; the other two cases, complete and broken off within an event, were right already. Change: such a stream counts as lost if the attempt brought no event, and is sent again. Evidence: test_stream_without_length_or_chunks_is_resumed_if_broken_off[unframed empty] failed before with body b'' and passes.

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_endpoint_client.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_endpoint_client.py
@@ -14,7 +14,13 @@
 )
 from ragwortpaddled.protocol import Dialect, ForwardingMetadata, PathRoute, RequestMetadata
 from ragwortpaddled.state import EndpointLoads
-from ragwortpaddled.transport import Http1Connection, Http1Pool, RawHeaders, ServerRequest
+from ragwortpaddled.transport import (
+    Http1Connection,
+    Http1Pool,
+    RawHeaders,
+    ResponseHead,
+    ServerRequest,
+)
 
 # Hop-by-hop headers (RFC 9110, 7.6.1), and Content-Length, which is set again for each hop.
 HOP_BY_HOP_HEADERS = frozenset(
@@ -40,11 +46,11 @@
         self,
         connection: Http1Connection,
         pool: Http1Pool,
-        status: int,
-        headers: RawHeaders,
+        head: ResponseHead,
     ) -> None:
-        self.status = status
-        self.headers = [(name, value) for name, value in headers if name not in HOP_BY_HOP_HEADERS]
+        self.status = head.status
+        self.headers = [(name, v) for name, v in head.headers if name not in HOP_BY_HOP_HEADERS]
+        self.ends_with_connection = head.ends_with_connection
         self._connection = connection
         self._pool = pool
         self._complete = False
@@ -159,7 +165,7 @@
             raise MaybeRunError(endpoint_id, "response is not signed by the endpoint")
         if head.header(b"content-encoding") is not None:
             raise MaybeRunError(endpoint_id, "response has an unsupported content encoding")
-        return Response(connection, self.connections, head.status, head.headers)
+        return Response(connection, self.connections, head)
 
     async def accepts_connections(self, address: str) -> bool:
         """Return whether an endpoint accepts a new connection: one that has crashed does not."""
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay.py
@@ -326,6 +326,8 @@
             await self.responder.write(events)
         if self._splitter.has_partial:
             raise MaybeRunError(target.endpoint.id, "stream ended in the middle of an event")
+        if response.ends_with_connection and not self._began:
+            raise ResponseLostError(target.endpoint.id, "connection closed before the first event")
         if not self.responder.started:
             await self.responder.start(response.status, response.headers)
         await self.responder.finish()
--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_client.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_client.py
@@ -38,6 +38,12 @@
         """Return the first value of a header, None if it is absent."""
         return first_value(self.headers, name)
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Return whether the body has neither a length nor chunks."""
+        framing = (b"content-length", b"transfer-encoding")
+        return all(self.header(name) is None for name in framing)
+
 
 class Http1Connection:
     """One connection to an endpoint, which carries one exchange at a time."""
--- a/packages/standins/src/ragwortpaddle_standins/relay_platform.py
+++ b/packages/standins/src/ragwortpaddle_standins/relay_platform.py
@@ -395,7 +395,9 @@
     """An engine that holds layers, runs a path of pipeline stages and streams events.
 
     Faults: ``torn`` (resets the connection within an event) and ``dark`` (every path
-    through this engine stalls, then its connection is reset). A request with a prompt part in
+    through this engine stalls, then its connection is reset). With ``unframed``, ``unframed torn``
+    and ``unframed empty``, a stream has neither a length nor chunks and ends with its connection:
+    when complete, within an event, or before the first one. A request with a prompt part in
     ``deadly_parts`` crashes the engine when it begins to run; the engine restarts without layers.
     """
 
@@ -508,6 +510,9 @@
             self.crash()
             raise ConnectionResetError("injected fault: the request crashes the engine")
         first_event = int(request.header(b"last-event-id") or b"0") + 1
+        if self.fault.startswith("unframed"):
+            await self._stream_unframed(request, responder, first_event)
+            return
         await responder.start(200, self._response_headers(request))
         self.running += 1
         try:
@@ -527,6 +532,21 @@
         finally:
             self.running -= 1
 
+    async def _stream_unframed(
+        self, request: ServerRequest, responder: Responder, first_event: int
+    ) -> None:
+        body = b"".join(event(number) for number in range(first_event, self.event_count + 1))
+        if self.fault == "unframed torn":
+            body = body[: len(event(first_event)) * 2 - 1]
+        elif self.fault == "unframed empty":
+            body = b""
+        head = b"HTTP/1.1 200 OK\r\nConnection: close\r\n"
+        for name, value in self._response_headers(request):
+            head += name + b": " + value + b"\r\n"
+        stream = responder._connection._stream  # the server itself frames every response
+        await stream.write(head + b"\r\n" + body)
+        stream.close()
+
     @staticmethod
     async def _send_without_end(responder: Responder, data: bytes, interval: float) -> None:
         """Repeat bytes that complete no event until the caller disconnects."""
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -132,6 +132,31 @@
             body += data
         assert (head.status, body) == (200, EVENT_STREAM)
 
+    async def test_stream_without_length_or_chunks_is_complete_at_its_end(
+        self, testbed: RelayTestBed
+    ) -> None:
+        for engine in testbed.engines:
+            engine.fault = "unframed"
+        head, body = await testbed.ask(b"POST", b"/ask/1")
+        assert (head.status, body) == (200, EVENT_STREAM)
+
+    @pytest.mark.parametrize("fault", ["unframed torn", "unframed empty"])
+    async def test_stream_without_length_or_chunks_is_resumed_if_broken_off(
+        self, testbed: RelayTestBed, fault: str
+    ) -> None:
+        """Such a stream ends with its connection, also when its engine ends before it began."""
+        request_count = 0
+        for engine in testbed.engines:
+            engine.fault = fault
+        asking = asyncio.create_task(testbed.ask(b"POST", b"/ask/1"))
+        while not request_count:
+            await asyncio.sleep(0)
+            request_count = sum(engine.count_executions("a1") for engine in testbed.engines)
+        for engine in testbed.engines:
+            engine.fault = ""
+        head, body = await asking
+        assert (head.status, body) == (200, EVENT_STREAM)
+
     async def test_unresponsive_stage_is_replaced_by_another_path(
         self, testbed: RelayTestBed
     ) -> None:
