Log the request limits that endpoints name

The logs of the exceeded limit named none. Change: the adapter reads the header, a daemon logs 'endpoint request limit' when an answer names one, another one or none any more. No decision depends on it.

--- a/packages/ragwortpaddled/src/ragwortpaddled/_relay_daemon.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/_relay_daemon.py
@@ -60,7 +60,9 @@
         drain_seconds = settings.store.leave_ms / 1000
         self._relay_directory = RelayDirectory(platform, dialect, random_source, drain_seconds)
         self._dispatcher = Dispatcher(self._relay_directory, section.data_centre, random_source)
-        self._endpoint_client = EndpointClient(dialect, self._relay_directory.loads)
+        self._endpoint_client = EndpointClient(
+            dialect, self._relay_directory.loads, self._relay_directory.request_limits
+        )
         holder = f"{section.name}/{time.time_ns()}"
         reports = EngineReports(http, dialect)
         self._layer_placer = LayerPlacer(
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_endpoint_client.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_endpoint_client.py
@@ -13,7 +13,7 @@
     ResponseLostError,
 )
 from ragwortpaddled.protocol import Dialect, ForwardingMetadata, PathRoute, RequestMetadata
-from ragwortpaddled.state import EndpointLoads
+from ragwortpaddled.state import EndpointLoads, RequestLimits
 from ragwortpaddled.transport import (
     Http1Connection,
     Http1Pool,
@@ -82,10 +82,13 @@
 class EndpointClient:
     """Sends requests to endpoints and classifies their responses."""
 
-    def __init__(self, dialect: Dialect, loads: EndpointLoads) -> None:
+    def __init__(
+        self, dialect: Dialect, loads: EndpointLoads, request_limits: RequestLimits
+    ) -> None:
         self.connections = Http1Pool()
         self._dialect = dialect
         self._loads = loads
+        self._request_limits = request_limits
 
     async def send(
         self,
@@ -148,6 +151,7 @@
         response_metadata = self._dialect.parse_response_headers(head.status, head.headers)
         if response_metadata.running is not None:
             self._loads.record_reported_load(endpoint_id, response_metadata.running)
+        self._request_limits.record_answer(endpoint_id, response_metadata.requests_per_second)
         if response_metadata.not_run:
             failed_id = (
                 target.endpoint_id_at(response_metadata.failed_address)
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_directory.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_directory.py
@@ -14,7 +14,7 @@
     RelayConfig,
     StoredObject,
 )
-from ragwortpaddled.state import EndpointLoads, LinkLoads, RouteTable
+from ragwortpaddled.state import EndpointLoads, LinkLoads, RequestLimits, RouteTable
 
 # Bounds of the pause between watches, as shares of the time within which a leaving endpoint must
 # stop receiving new requests: the minimum with few daemons, the maximum with many.
@@ -41,6 +41,7 @@
         self.routes = RouteTable(())
         self.loads = EndpointLoads()
         self.links = LinkLoads()
+        self.request_limits = RequestLimits()
         self.entry_by_id: dict[str, EndpointEntry] = {}
         self._ids_by_pool: defaultdict[str, set[str]] = defaultdict(set)
         self._dialect = dialect
--- a/packages/ragwortpaddled/src/ragwortpaddled/protocol/_relay.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/_relay.py
@@ -189,6 +189,7 @@
     failed_address: str = ""  # the engine that did not run the request, if not the first
     running: int | None = None
     waiting: int | None = None
+    requests_per_second: float | None = None  # the endpoint's limit over all daemons, if any
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/ragwortpaddled/src/ragwortpaddled/state/__init__.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/__init__.py
@@ -73,6 +73,7 @@
 )
 from ragwortpaddled.state._rendezvous import choose_by_rendezvous, rank_by_rendezvous
 from ragwortpaddled.state._request_fingerprint import RequestFingerprint, fingerprint
+from ragwortpaddled.state._request_limits import RequestLimits
 from ragwortpaddled.state._route_table import RouteTable, select_pool
 from ragwortpaddled.state._shard import (
     MAX_HEAD_BYTES,
@@ -121,6 +122,7 @@
     "Problem",
     "Release",
     "RequestFingerprint",
+    "RequestLimits",
     "RequestSize",
     "RetryBudgetBounds",
     "Route",
--- a/tests/test_adapter_boundary.py
+++ b/tests/test_adapter_boundary.py
@@ -20,7 +20,7 @@
 WIRE_NAMES = re.compile(
     r"x-(attempt-id|server-seal|hop-count|not-executed|expect-replica|replica-(id|load)|key|tenant"
     r"|deadline-ms|token-counts|length-hint|request-urgency|model|prompt-prefix|weight-versions)\b"
-    r"|at-server|storeRevision|startAfter|waitMs|coldRemainingMs|kvUsed|kvTotal|pathPrefix"
+    r"|at-server|server-limit|storeRevision|startAfter|waitMs|coldRemainingMs|kvUsed|kvTotal|pathPrefix"
     r"|trafficSplit|apiKeys|layerMb|readX|/api/(objects|order|report|readyz)",
     re.IGNORECASE,
 )
