--- a/packages/standins/src/ragwortpaddle_standins/relay_platform.py
+++ b/packages/standins/src/ragwortpaddle_standins/relay_platform.py
@@ -289,6 +289,7 @@
     """Base of engines and services: a store entry, an injected fault and the recorded requests.
 
     ``fault`` is empty for none; the subclasses document the faults that they simulate.
+    ``requests_per_second`` is the limit that its responses name, None for none.
     """
 
     store: Store
@@ -305,6 +306,7 @@
     fault: str = ""
     running: int = 0
     incarnation: int = 1
+    requests_per_second: float | None = None
 
     def __post_init__(self) -> None:
         self._server = Http1Server(ANY_PORT_ADDRESS, self._handle)
@@ -358,11 +360,14 @@
         self.received_at.append(time.monotonic())
 
     def _response_headers(self, request: ServerRequest) -> list[tuple[bytes, bytes]]:
-        return [
+        headers = [
             (b"X-Attempt-Id", attempt_id_of(request).encode()),
             (b"X-Server-Seal", f"seal.{self.id}".encode()),
             (b"X-Replica-Load", f"{self.running},0,{self.slots}".encode()),
         ]
+        if self.requests_per_second is not None:
+            headers.append((b"Server-Limit", str(self.requests_per_second).encode()))
+        return headers
 
 
 class Service(Endpoint):
