Divide the relay's request and the crash records by subject

The crash records are divided into one record, the causes and the table; the test fleets of three daemons share RelayFleet.

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_crash_tracker.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_crash_tracker.py
@@ -106,9 +106,10 @@
         self, endpoint: EndpointEntry, fingerprint: RequestFingerprint
     ) -> bool:
         """Record a response that was lost before it began; return whether the endpoint crashed."""
-        if await self._endpoint_client.accepts_connections(endpoint.address):
-            return False
         key = _crash_key(endpoint)
+        known = self.records.has_crashed(key)
+        if not known and await self._endpoint_client.accepts_connections(endpoint.address):
+            return False
         self._own_crash_keys.add(key)
         self.records.record_crash(key, fingerprint)
         telemetry.endpoint_crashes.add(1)
--- /dev/null
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relayed_request.py
@@ -0,0 +1,366 @@
+"""The attempts of one request at endpoints, until its single response is sent."""
+
+import asyncio
+import logging
+import time
+from collections.abc import Coroutine
+from dataclasses import dataclass
+from typing import Any, TypeVar
+
+from ragwortpaddled import telemetry
+from ragwortpaddled.coordination._crash_tracker import CrashTracker
+from ragwortpaddled.coordination._dispatcher import Dispatcher, DispatchRequest, Target
+from ragwortpaddled.coordination._endpoint_client import EndpointClient, Response
+from ragwortpaddled.coordination._stall_locator import StallLocator
+from ragwortpaddled.errors import (
+    EndpointError,
+    MaybeRunError,
+    NoRoomError,
+    NotRunError,
+    RefusedError,
+    ReplyLostError,
+    ResponseLostError,
+    StalledError,
+)
+from ragwortpaddled.protocol import PathRoute, RelayPool, RelayTeam, RequestKind, RequestMetadata
+from ragwortpaddled.state import EventSplitter, PoolRetryBudget, RequestSize, fingerprint
+from ragwortpaddled.transport import Responder, ServerRequest
+
+# Callers abandon a stream that has not started within 2 s, even if their deadline is later.
+STREAM_WAIT_SECONDS = 1.2
+MAX_WAIT_SHARE = 0.5  # of the time until the deadline; the rest is for processing
+FIRST_EVENT_TIMEOUT_SECONDS = 1.5
+EVENT_TIMEOUT_SECONDS = 0.7  # callers leave after 2 s without an event; a retry prefills first
+MAX_EVENT_BYTES = 256 * 1024  # events have a few hundred bytes; bounds the memory per stream
+MAX_SENDS = 4
+# Of a route's target latency: a healthy endpoint responds within a quarter of it, so one that has
+# used most of it is slow or down, and a retry can still be of use to the caller.
+LATENCY_TARGET_SHARE = 0.8
+MIN_TIMEOUT_SECONDS = 0.15
+DEFAULT_RETRY_AFTER_SECONDS = 0.5
+
+T = TypeVar("T")
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass
+class RelayedRequest:
+    """The attempts of one request; times are in seconds on the monotonic clock."""
+
+    dispatcher: Dispatcher
+    endpoint_client: EndpointClient
+    stall_locator: StallLocator
+    crash_tracker: CrashTracker
+    retry_budget: PoolRetryBudget
+    request: ServerRequest
+    metadata: RequestMetadata
+    responder: Responder
+    route: PathRoute
+    pool: RelayPool
+    team: RelayTeam | None
+    started_at: float
+    deadline: float
+
+    def __post_init__(self) -> None:
+        self._splitter = EventSplitter()
+        self._splitter.last_id = self.metadata.last_event_id
+        self._excluded_ids: set[str] = set()
+        self._may_have_run = False
+        self._possible_runs = 0
+        self._began = False  # the endpoint of the current attempt has begun to respond
+        self._fingerprint = fingerprint(
+            self.team.name if self.team else "",
+            self.request.target,
+            self.request.body,
+            self.metadata.prompt_parts,
+        )
+
+    async def run(self) -> str:
+        """Retry until a response is sent; return the outcome for the request counter.
+
+        :raises RefusedError: no endpoint ran the request
+        """
+        self.retry_budget.record_request(self.pool.name)
+        try:
+            async with asyncio.timeout_at(_to_loop_time(self.deadline)):
+                return await self._attempt_until_answered()
+        except TimeoutError:
+            return await self._end_with_error(504, "deadline exceeded")
+
+    async def _attempt_until_answered(self) -> str:
+        sends = 0
+        while True:
+            try:
+                await self.crash_tracker.admit(self._fingerprint)
+                target = await self.dispatcher.acquire(self._dispatch_request())
+            except RefusedError as refusal:
+                return await self._end_refused(refusal)
+            sends += 1
+            telemetry.place_wait_seconds.record(target.waited_seconds, {"pool": self.pool.name})
+            try:
+                # The request may have been quarantined while it was queued.
+                self.crash_tracker.refuse_if_quarantined(self._fingerprint)
+                await self._run_attempt(target)
+                telemetry.attempts.add(1, {"result": "answered"})
+                return "served"
+            except RefusedError as refusal:
+                return await self._end_refused(refusal)
+            except NotRunError as error:
+                self._record_failure(error, target)
+            except MaybeRunError as error:
+                self._record_failure(error, target)
+                if isinstance(error, ResponseLostError) and not self._began:
+                    await self._record_lost_response(target)
+                self._may_have_run = True
+                self._possible_runs += 1
+                if not self.route.retryable:
+                    return await self._end_with_error(502, error.reason)
+            finally:
+                self.dispatcher.release(target)
+            if self._possible_runs >= self.route.max_attempts or sends >= MAX_SENDS:
+                return await self._end_with_error(502, f"all {sends} attempts failed")
+            if not self.retry_budget.try_acquire(self.pool.name):
+                return await self._end_with_error(502, "retry budget exhausted")
+
+    def _dispatch_request(self) -> DispatchRequest:
+        now = time.monotonic()
+        if self.route.request_kind is RequestKind.STREAM:
+            wait = STREAM_WAIT_SECONDS - (0 if self.responder.started else now - self.started_at)
+        else:
+            wait = (self.deadline - now) * MAX_WAIT_SHARE
+        priority = self.route.priority
+        if self.team is not None and self.team.priority is not None:
+            priority = self.team.priority
+        return DispatchRequest(
+            self.pool,
+            RequestSize(self.metadata.prompt_tokens, self.metadata.expected_answer_tokens),
+            priority,
+            now + max(0.0, wait),
+            self.deadline,
+            frozenset(self._excluded_ids),
+        )
+
+    async def _run_attempt(self, target: Target) -> None:
+        self._began = False
+        log_request(
+            self.metadata,
+            "attempt sent",
+            content=self._fingerprint.content,
+            prompt_parts=sorted(self._fingerprint.prompt_parts),
+            endpoint=target.endpoint.id,
+            path=[hop.endpoint_id for hop in target.path],
+            considered=target.considered_count,
+            expected_ms=int(target.cost_ms),
+            waited_ms=int(target.waited_seconds * 1000),
+            resume=self._splitter.last_id,
+        )
+        is_stream = self.route.request_kind is RequestKind.STREAM
+        exchange = self.endpoint_client.send(
+            self.request,
+            self.metadata,
+            target,
+            self.route,
+            deadline=self.deadline,
+            team=self.team.name if self.team else "",
+            last_event_id=self._splitter.last_id,
+        )
+        if is_stream:
+            response = await self._await_progress(exchange, FIRST_EVENT_TIMEOUT_SECONDS, target)
+        else:
+            response = await self._with_timeout(exchange, target)
+        try:
+            if is_stream and response.status < 300:
+                await self._relay_stream(response, target)
+            else:
+                await self._relay_complete_response(response, target)
+        except ReplyLostError as error:
+            raise ResponseLostError(target.endpoint.id, str(error)) from error
+        finally:
+            response.close()
+        self.dispatcher.record_success(target)
+
+    async def _record_lost_response(self, target: Target) -> None:
+        crashed = await self.crash_tracker.record_lost_response(target.endpoint, self._fingerprint)
+        log_request(
+            self.metadata,
+            "endpoint crashed" if crashed else "connection lost",
+            endpoint=target.endpoint.id,
+            content=self._fingerprint.content,
+            prompt_parts=sorted(self._fingerprint.prompt_parts),
+        )
+
+    def _record_began(self, target: Target) -> None:
+        self._began = True
+        self.crash_tracker.record_run(target.endpoint, self._fingerprint, target.reserved_at)
+
+    async def _relay_complete_response(self, response: Response, target: Target) -> None:
+        self._record_began(target)
+        body = await response.read_all()
+        if response.status >= 500 and self._may_retry:
+            raise MaybeRunError(target.endpoint.id, f"response status {response.status}")
+        if self.responder.started:
+            raise MaybeRunError(target.endpoint.id, f"status {response.status} to a resumed stream")
+        await self.responder.send(response.status, response.headers, body)
+        log_request(self.metadata, "response sent", status=response.status, since=self.started_at)
+
+    async def _relay_stream(self, response: Response, target: Target) -> None:
+        while True:
+            events = await self._await_progress(
+                self._read_events(response, target), EVENT_TIMEOUT_SECONDS, target
+            )
+            if events is None:
+                break
+            if not self._began:
+                self._record_began(target)
+                self.dispatcher.record_acceptance(target)
+            if not self.responder.started:
+                telemetry.first_event_seconds.record(time.monotonic() - self.started_at)
+                await self.responder.start(response.status, response.headers)
+            await self.responder.write(events)
+        if self._splitter.has_partial:
+            raise MaybeRunError(target.endpoint.id, "stream ended in the middle of an event")
+        if response.ends_with_connection and not self._began:
+            raise ResponseLostError(target.endpoint.id, "connection closed before the first event")
+        if not self.responder.started:
+            await self.responder.start(response.status, response.headers)
+        await self.responder.finish()
+        log_request(self.metadata, "response sent", status=response.status, since=self.started_at)
+
+    async def _read_events(self, response: Response, target: Target) -> bytes | None:
+        """Return the next complete events, None at the end of the stream.
+
+        Bytes that complete no event are no progress, so a sender of single bytes counts as stalled.
+        """
+        while (data := await response.read()) is not None:
+            events = self._splitter.feed(data)
+            if events:
+                return events
+            if self._splitter.partial_bytes > MAX_EVENT_BYTES:
+                reason = f"event exceeds {MAX_EVENT_BYTES} bytes"
+                raise MaybeRunError(target.endpoint.id, reason)
+        return None
+
+    async def _with_timeout(self, call: Coroutine[Any, Any, Response], target: Target) -> Response:
+        """Time out a slow attempt of a safe request early enough to retry at another endpoint."""
+        if self.route.request_kind is not RequestKind.SAFE or self._is_last_attempt:
+            return await call
+        limit = max(MIN_TIMEOUT_SECONDS, self.route.target_latency_seconds * LATENCY_TARGET_SHARE)
+        try:
+            async with asyncio.timeout(limit):
+                return await call
+        except TimeoutError as error:
+            raise MaybeRunError(target.endpoint.id, f"no response in {limit:.2f} s") from error
+
+    async def _await_progress(
+        self, operation: Coroutine[Any, Any, T], seconds: float, target: Target
+    ) -> T:
+        """Await an operation of an attempt and check for a stall whenever it makes no progress.
+
+        A stall that no engine causes means that a link or the fleet is busy. The request is then
+        moved only to a path with free capacity; a retry on a full fleet would only add load.
+
+        :raises StalledError: a retry is better than waiting
+        """
+        task = asyncio.create_task(operation)
+        try:
+            while not (await asyncio.wait([task], timeout=seconds))[0]:
+                stalled_id = await self.stall_locator.locate_stall(target, self.metadata.attempt_id)
+                if task.done():
+                    break
+                if self._splitter.has_partial and not stalled_id and self._may_retry:
+                    # Only the first engine writes to this connection, so no other can be at fault.
+                    reason = f"no complete event for {seconds} s"
+                    raise MaybeRunError(target.endpoint.id, reason)
+                self._mark_links_congested(target, stalled_id)
+                if stalled_id or self._has_better_path(target):
+                    raise StalledError(stalled_id or "", f"no progress for {seconds} s")
+            return task.result()
+        finally:
+            if not task.done():
+                task.cancel()
+                await asyncio.wait([task])
+            if not task.cancelled():
+                # Mark the operation's error as retrieved; this method ends for another reason.
+                task.exception()
+
+    @property
+    def _is_last_attempt(self) -> bool:
+        return self._possible_runs + 1 >= self.route.max_attempts
+
+    @property
+    def _may_retry(self) -> bool:
+        return self.route.retryable and not self._is_last_attempt
+
+    def _has_better_path(self, target: Target) -> bool:
+        return not self._is_last_attempt and self.dispatcher.has_other_path(
+            self._dispatch_request(), target
+        )
+
+    def _mark_links_congested(self, target: Target, stalled_id: str | None) -> None:
+        if stalled_id:
+            return
+        for link in target.links:
+            seconds = self.dispatcher.mark_congested(link)
+            log_request(
+                self.metadata, "link congested", link=sorted(link), avoided_ms=int(seconds * 1000)
+            )
+
+    def _record_failure(self, error: EndpointError, target: Target) -> None:
+        self._splitter.discard_partial()
+        seconds = 0.0
+        if isinstance(error, NoRoomError):
+            seconds = target.loads.record_overload(error.endpoint)
+        elif error.endpoint:
+            self._excluded_ids.add(error.endpoint)
+            lost = isinstance(error, StalledError | NotRunError) and bool(target.path)
+            seconds = target.loads.record_failure(error.endpoint, suspected_lost=lost)
+        telemetry.attempts.add(1, {"result": type(error).__name__})
+        log_request(
+            self.metadata,
+            "attempt failed",
+            endpoint=error.endpoint,
+            reason=error.reason,
+            not_run=isinstance(error, NotRunError),
+            began=self._began,
+            suspect_ms=int(seconds * 1000),
+            last_event=self._splitter.last_id,
+            budget_left=int(self.retry_budget.remaining(self.pool.name)),
+        )
+
+    async def _end_refused(self, refusal: RefusedError) -> str:
+        """Pass on a refusal, unless an endpoint may have run the request before.
+
+        :raises RefusedError: no endpoint ran the request
+        """
+        if not self._may_have_run:
+            raise refusal
+        return await self._end_with_error(502, refusal.reason)
+
+    async def _end_with_error(self, status: int, reason: str) -> str:
+        """End with an error; a 503 guarantees that no endpoint ran the request."""
+        if self.responder.started:
+            log_request(self.metadata, "response aborted", reason=reason, since=self.started_at)
+            raise ConnectionResetError(reason)
+        if not self._may_have_run and status == 502:
+            raise RefusedError(503, reason, DEFAULT_RETRY_AFTER_SECONDS)
+        log_request(
+            self.metadata, "request failed", status=status, reason=reason, since=self.started_at
+        )
+        await self.responder.send(status, [], reason.encode())
+        return f"failed {status}"
+
+
+def _to_loop_time(monotonic: float) -> float:
+    return asyncio.get_running_loop().time() + monotonic - time.monotonic()
+
+
+def log_request(
+    metadata: RequestMetadata, event: str, *, since: float = 0.0, **fields: object
+) -> None:
+    """Log an event of a request; ``since`` adds the milliseconds since a monotonic time."""
+    if not logger.isEnabledFor(logging.INFO):
+        return
+    if since:
+        fields["ms"] = int((time.monotonic() - since) * 1000)
+    logger.info(event, extra={"request_id": metadata.attempt_id, "fields": fields})
--- a/packages/ragwortpaddled/src/ragwortpaddled/state/__init__.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/__init__.py
@@ -1,18 +1,14 @@
 """The state that a daemon keeps in memory, and the rules that update it."""
 
 from ragwortpaddled.state._check import Problem, check_objects
+from ragwortpaddled.state._crash_causes import CrashCause
 from ragwortpaddled.state._crash_correlation import (
     EVIDENCE_DELAY_SECONDS,
     Crash,
     find_poison_contents,
 )
-from ragwortpaddled.state._crash_records import (
-    RECORD_TTL_SECONDS,
-    CrashCause,
-    CrashRecord,
-    CrashRecords,
-    find_causes,
-)
+from ragwortpaddled.state._crash_record import RECORD_TTL_SECONDS
+from ragwortpaddled.state._crash_records import CrashRecords
 from ragwortpaddled.state._endpoint_loads import EndpointLoad, EndpointLoads
 from ragwortpaddled.state._endpoints import Circuit, CircuitState, Endpoint, EndpointTable
 from ragwortpaddled.state._event_splitter import EventSplitter
@@ -101,7 +97,6 @@
     "CircuitState",
     "Crash",
     "CrashCause",
-    "CrashRecord",
     "CrashRecords",
     "Endpoint",
     "EndpointLoad",
@@ -144,7 +139,6 @@
     "diff_objects",
     "encode_object",
     "encode_release",
-    "find_causes",
     "find_poison_contents",
     "fingerprint",
     "format_object",
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -106,3 +106,32 @@
         while (data := await connection.read_body_part()) is not None:
             body += data
         return head, body
+
+
+class RelayFleet:
+    """Three daemons on one test bed; ``daemon_for`` gives each in turn."""
+
+    def __init__(self, testbed: RelayTestBed) -> None:
+        self.testbed = testbed
+        self.daemons: list[RelayDaemon] = []
+
+    async def start(self) -> None:
+        """Start the test bed and the daemons, and wait until they exchange state."""
+        await self.testbed.start()
+        others = [
+            await self.testbed.start_daemon(f"entry-{number}", self.testbed.store.address)
+            for number in (2, 3)
+        ]
+        await self.testbed.wait(lambda: all(d.reachable_peers for d in others), "peers")
+        self.daemons = [self.testbed.daemon, *others]
+
+    async def stop(self) -> None:
+        """Stop the daemons that still run and the test bed, which stops its own."""
+        for daemon in self.daemons:
+            if daemon is not self.testbed.daemon:
+                await daemon.shutdown()
+        await self.testbed.stop()
+
+    def daemon_for(self, number: int) -> RelayDaemon:
+        """Return the daemon that gets the request with a number."""
+        return self.daemons[number % len(self.daemons)]
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -9,7 +9,7 @@
 from ragwortpaddle_standins.relay_platform import EVENT_STREAM, prompt_parts_of
 from ragwortpaddled.errors import ReplyLostError
 from ragwortpaddled.relay import RelayDaemon
-from relay_fleet import WAIT_SECONDS, RelayTestBed
+from relay_fleet import WAIT_SECONDS, RelayFleet, RelayTestBed
 
 DEADLY_PART = "deadly"
 CRASHES_BEFORE_BOUND = 5
@@ -18,19 +18,18 @@
 REQUEST_INTERVAL_SECONDS = 0.15
 
 
-class Fleet:
-    """Three daemons on one test bed, and requests that go to each of them in turn."""
+class Fleet(RelayFleet):
+    """Sends requests with prompt parts and counts those that engines receive."""
 
-    def __init__(self, testbed: RelayTestBed, daemons: list[RelayDaemon]) -> None:
-        self.testbed = testbed
-        self.daemons = daemons
+    def __init__(self, testbed: RelayTestBed) -> None:
+        super().__init__(testbed)
         self._numbers: Iterator[int] = itertools.count()
 
     async def ask(self, *parts: str, daemon: RelayDaemon | None = None) -> int:
         """Send a request of its own with prompt parts; return its status, 0 if it was aborted."""
         number = next(self._numbers)
         prefix = ",".join(f"{part}:40" for part in (*parts, f"own-{number}"))
-        daemon = daemon or self.daemons[number % len(self.daemons)]
+        daemon = daemon or self.daemon_for(number)
         try:
             head, body = await self.testbed.ask(
                 b"POST",
@@ -83,16 +82,12 @@
 
 @pytest.fixture
 async def fleet(tmp_path) -> AsyncIterator[Fleet]:
-    testbed = RelayTestBed(tmp_path)
-    await testbed.start()
-    others = [await testbed.start_daemon(f"entry-{i}", testbed.store.address) for i in (2, 3)]
-    await testbed.wait(lambda: all(daemon.reachable_peers for daemon in others), "peers")
-    for engine in testbed.engines:
+    fleet = Fleet(RelayTestBed(tmp_path))
+    await fleet.start()
+    for engine in fleet.testbed.engines:
         engine.deadly_parts = frozenset({DEADLY_PART})
-    yield Fleet(testbed, [testbed.daemon, *others])
-    for daemon in others:
-        await daemon.shutdown()
-    await testbed.stop()
+    yield fleet
+    await fleet.stop()
 
 
 class TestPromptPartThatCrashesEngines:
@@ -157,7 +152,7 @@
             engine.deadly_parts = frozenset({"own"})
         for number in range(12):
             await fleet.testbed.wait(fleet.all_layers_held, "layers")
-            daemon = fleet.daemons[number % len(fleet.daemons)]
+            daemon = fleet.daemon_for(number)
             try:
                 await fleet.testbed.ask(
                     b"POST",
--- a/tests/test_endpoint_request_limits.py
+++ b/tests/test_endpoint_request_limits.py
@@ -6,8 +6,7 @@
 
 import pytest
 from ragwortpaddle_standins.relay_platform import Endpoint
-from ragwortpaddled.relay import RelayDaemon
-from relay_fleet import RelayTestBed
+from relay_fleet import RelayFleet, RelayTestBed
 
 CONTACT_SECONDS = 3.0  # the platform's limit for respecting a new request limit
 WINDOW_SECONDS = 4.0
@@ -26,15 +25,11 @@
     return 1.5 * limit * WINDOW_SECONDS + 5
 
 
-class Fleet:
-    """Three daemons on one test bed, and requests that go to each of them in turn."""
-
-    def __init__(self, testbed: RelayTestBed, daemons: list[RelayDaemon]) -> None:
-        self.testbed = testbed
-        self.daemons = daemons
+class Fleet(RelayFleet):
+    """Sends requests at a fixed interval."""
 
     async def ask(self, method: bytes, path: bytes, number: int) -> int:
-        daemon = self.daemons[number % len(self.daemons)]
+        daemon = self.daemon_for(number)
         head, _ = await self.testbed.ask(method, path, b"n%d" % number, daemon=daemon)
         return head.status
 
@@ -52,14 +47,10 @@
 
 @pytest.fixture
 async def fleet(tmp_path) -> AsyncIterator[Fleet]:
-    testbed = RelayTestBed(tmp_path)
-    await testbed.start()
-    others = [await testbed.start_daemon(f"entry-{i}", testbed.store.address) for i in (2, 3)]
-    await testbed.wait(lambda: all(daemon.reachable_peers for daemon in others), "peers")
-    yield Fleet(testbed, [testbed.daemon, *others])
-    for daemon in others:
-        await daemon.shutdown()
-    await testbed.stop()
+    fleet = Fleet(RelayTestBed(tmp_path))
+    await fleet.start()
+    yield fleet
+    await fleet.stop()
 
 
 class TestLimitOfAnEndpoint:
@@ -94,7 +85,6 @@
         fleet.daemons.append(daemon)
         started_at = time.monotonic()
         await fleet.send_requests(WINDOW_SECONDS, b"/look/1")
-        await daemon.shutdown()
         assert max_received(limited, started_at) <= allowed(LIMIT)
 
     async def test_limit_of_the_first_engine_of_a_path_is_respected(self, fleet: Fleet) -> None:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -13,7 +13,7 @@
     StoreFrontend,
     configuration,
 )
-from ragwortpaddled.coordination._relay import _RelayedRequest
+from ragwortpaddled.coordination._relayed_request import RelayedRequest
 from ragwortpaddled.errors import ReplyLostError
 from ragwortpaddled.protocol import RequestMetadata
 from ragwortpaddled.telemetry import configure_telemetry
@@ -240,7 +240,7 @@
         asyncio.get_running_loop().set_exception_handler(
             lambda _, context: unhandled.append(context)
         )
-        request = object.__new__(_RelayedRequest)
+        request = object.__new__(RelayedRequest)
         request.stall_locator = SlowStallLocator()
         request.metadata = RequestMetadata("a1")
         waiting = asyncio.create_task(request._await_progress(operation(), 0.01, None))
