Update the digest of the crash records when records expire

Cause: expired records left the table but stayed in the digest, each daemon's at its own moment. Daemons whose digests differ send each other all records in every exchange, until the next crash. Found by reading. test_digests_agree_after_records_have_expired failed before and passes.

--- a/packages/ragwortpaddled/src/ragwortpaddled/state/_crash_records.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/_crash_records.py
@@ -173,6 +173,7 @@
 
     def _evict(self, now: float) -> None:
         """Remove expired records, and the oldest ones above ``MAX_RECORDS``."""
+        count = len(self.record_by_key)
         for key, record in list(self.record_by_key.items()):
             if record.is_expired(now):
                 del self.record_by_key[key]
@@ -182,6 +183,8 @@
         )
         for key in resolved_and_oldest_first[: max(0, len(self.record_by_key) - MAX_RECORDS)]:
             del self.record_by_key[key]
+        if len(self.record_by_key) < count:
+            self._update_digest()
 
     def _note_change(self) -> None:
         self.changed_at = time.monotonic()
--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -259,3 +259,11 @@
             crash(records, f"e{number}", request(f"c{number}"))
         assert len(records.record_by_key) == _crash_records.MAX_RECORDS
         assert "e99" in records.record_by_key
+
+    def test_digests_agree_after_records_have_expired(self, records, clock) -> None:
+        """Daemons whose digests differ send each other all records in every exchange."""
+        crash(records, "e1", request("c1", "p"))
+        records.record_run("e1", request("x"), clock.now + 1.0)
+        clock.advance(_crash_records.RESOLVED_RECORD_TTL_SECONDS + 1.0)
+        assert records.causes() == []
+        assert records.digest == CrashRecords().digest
