Resume a stream that has begun without asking the quarantine

Cause: a stream that had delivered events was checked again before each further attempt, and would be aborted if one of its parts had been quarantined meanwhile. It is innocent, since an endpoint began it. Change: only requests that have not begun are checked.

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relayed_request.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relayed_request.py
@@ -92,15 +92,17 @@
         sends = 0
         while True:
             try:
-                await self.crash_tracker.admit(self._fingerprint)
+                if not self.responder.started:
+                    await self.crash_tracker.admit(self._fingerprint)
                 target = await self.dispatcher.acquire(self._dispatch_request())
             except RefusedError as refusal:
                 return await self._end_refused(refusal)
             sends += 1
             telemetry.place_wait_seconds.record(target.waited_seconds, {"pool": self.pool.name})
             try:
-                # The request may have been quarantined while it was queued.
-                self.crash_tracker.refuse_if_quarantined(self._fingerprint)
+                if not self.responder.started:
+                    # The request may have been quarantined while it was queued.
+                    self.crash_tracker.refuse_if_quarantined(self._fingerprint)
                 await self._run_attempt(target)
                 telemetry.attempts.add(1, {"result": "answered"})
                 return "served"
