--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -123,6 +123,31 @@
         )
         assert [value for name, value in resumed if name.lower() == b"last-event-id"] == [b"9"]
 
+    @pytest.mark.parametrize(
+        ("value", "parts"),
+        [
+            (b"5c1e07a2:800,91bd3f06:410,e4402b7d:250", ("5c1e07a2", "91bd3f06", "e4402b7d")),
+            (b" a:1 , b ,,:7", ("a", "b")),
+            (b"", ()),
+        ],
+    )
+    def test_prompt_parts_are_parsed_without_their_sizes(
+        self, value: bytes, parts: tuple[str, ...]
+    ) -> None:
+        metadata = DIALECT.parse_request_headers([(b"X-Prompt-Prefix", value)])
+        assert metadata.prompt_parts == parts
+
+    @pytest.mark.parametrize(
+        ("value", "limit"),
+        [(b"4.25", 4.25), (b"0", 0.0), (b"-1", None), (b"nan", None), (b"soon", None)],
+    )
+    def test_request_limit_is_parsed_and_invalid_one_ignored(
+        self, value: bytes, limit: float | None
+    ) -> None:
+        metadata = DIALECT.parse_response_headers(200, [(b"Server-Limit", value)])
+        assert metadata.requests_per_second == limit
+        assert DIALECT.parse_response_headers(200, []).requests_per_second is None
+
     def test_status_421_means_not_run(self) -> None:
         assert DIALECT.parse_response_headers(421, []).not_run
         assert not DIALECT.parse_response_headers(500, []).not_run
