End a quarantine at different moments, and spread the return of callers

Cause: all daemons ended the quarantine at the same moment, and the Retry-After of every refusal named that moment, so the refused requests came back together and found every daemon open. Evidence: 25 and 58 daemons log `quarantine ended` at 14.6 and 14.7; the refusals from 8 to 14 carry a retry_after of 5 to 1 s. Ruled out: the crashes before; there were two. Change: each daemon prolongs a quarantine by its own random part of 10 s, and a Retry-After has a random part of 10 s on top, so one request tries the part again and its crash is known to the others. test_daemons_release_a_cause_one_after_the_other fails without the delay.

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_crash_tracker.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_crash_tracker.py
@@ -30,6 +30,9 @@
 SYNC_INTERVAL_SECONDS = 0.25
 STORE_RETRY_SECONDS = 1.0
 EVIDENCE_POLL_SECONDS = 0.05
+# Daemons end a quarantine one after the other, so that the first request to crash an endpoint again
+# is known to the others before they let one through.
+RELEASE_SPREAD_SECONDS = 10.0
 
 logger = logging.getLogger(__name__)
 
@@ -64,7 +67,7 @@
         platform: PlatformClient,
         random_source: random.Random,
     ) -> None:
-        self.records = CrashRecords()
+        self.records = CrashRecords(random_source.uniform(0.0, RELEASE_SPREAD_SECONDS))
         self._endpoint_client = endpoint_client
         self._platform = platform
         self._random = random_source
@@ -94,10 +97,12 @@
         cause = self.records.find_cause(fingerprint)
         if cause is None:
             return
+        # Callers that were told the same moment would all return when the quarantine ends.
+        spread_seconds = self._random.uniform(0.0, RELEASE_SPREAD_SECONDS)
         raise RefusedError(
             503,
             f"requests of this kind crashed {len(cause.crash_keys)} endpoints",
-            cause.until - time.monotonic(),
+            cause.until - time.monotonic() + spread_seconds,
             quarantined=cause.trait,
             companions=sorted(cause.companions),
         )
--- a/packages/ragwortpaddled/src/ragwortpaddled/state/_crash_records.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/_crash_records.py
@@ -4,6 +4,7 @@
 import zlib
 from collections import Counter, OrderedDict
 from collections.abc import Collection, Iterable
+from dataclasses import replace
 
 import msgspec
 
@@ -22,9 +23,14 @@
 
 
 class CrashRecords:
-    """The crash records of one daemon, merged with those of its peers."""
+    """The crash records of one daemon, merged with those of its peers.
 
-    def __init__(self) -> None:
+    ``release_delay_seconds`` prolongs each quarantine at this daemon. If it differs between
+    daemons, they do not all let a request with the cause through when the quarantine ends.
+    """
+
+    def __init__(self, release_delay_seconds: float = 0.0) -> None:
+        self._release_delay_seconds = release_delay_seconds
         self.record_by_key: dict[str, CrashRecord] = {}
         self.digest = 0  # of the records, equal at daemons that have the same
         self.changed_at = 0.0  # on the monotonic clock; 0 if never
@@ -105,7 +111,11 @@
         now = time.monotonic()
         if now >= self._causes_valid_until:
             self._evict(now)
-            self._causes = [c for c in find_causes(self.record_by_key, now) if c.until > now]
+            causes = [
+                replace(cause, until=cause.until + self._release_delay_seconds)
+                for cause in find_causes(self.record_by_key, now)
+            ]
+            self._causes = [cause for cause in causes if cause.until > now]
             deadlines = [c.until for c in self._causes]
             deadlines += [
                 record.at + SETTLE_SECONDS
--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -225,6 +225,19 @@
         clock.advance(60.0)
         assert causes(records) == ["p"]
 
+    def test_daemons_release_a_cause_one_after_the_other(self, clock) -> None:
+        """All callers returned when the quarantine ended, and crashed six engines at once."""
+        early, late = CrashRecords(), CrashRecords(release_delay_seconds=5.0)
+        for records in (early, late):
+            crash(records, "e1", request("c1", "p"))
+        clock.advance(11.0)
+        assert causes(early) == []
+        assert causes(late) == ["p"]
+        crash(early, "e2", request("c2", "p"))
+        late.merge(early.reports())
+        clock.advance(6.0)
+        assert causes(early) == causes(late) == ["p"]
+
 
 class TestMerging:
     def test_daemons_that_exchange_reports_find_the_same_causes(self, records, clock) -> None:
