Log the era of the store and the versions of objects that are ignored

No decision depends on it. The stand-in of the store can now be restored from a copy; a watch from a revision that it does not have gets 410.

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_object_watcher.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_object_watcher.py
@@ -111,7 +111,7 @@
             except HistoryLostError:
                 logger.info(
                     "change history expired, listing objects again",
-                    extra={"fields": {"prefix": self._prefix}},
+                    extra={"fields": {"prefix": self._prefix, "era": self._platform.era}},
                 )
                 list_needed = True
             except PlatformError as error:
@@ -147,11 +147,22 @@
             deferred.cancel()
         current = self.object_by_key.get(stored.key)
         if current is not None and current.version >= stored.version:
+            if current.value != stored.value:
+                self._log_ignored(stored, current.version)
             return
         self.object_by_key[stored.key] = stored
         self._record_change(stored.key, stored.version, stored.value)
         self._on_change(stored.key, stored)
 
+    def _log_ignored(self, stored: StoredObject, known_version: int) -> None:
+        fields = {
+            "key": stored.key,
+            "revision": stored.version,
+            "known_revision": known_version,
+            "era": self._platform.era,
+        }
+        logger.info("older version of an object ignored", extra={"fields": fields})
+
     def _remove_or_defer(self, key: str, previous_revision: int) -> None:
         """Remove an object, after a grace period if it may only have expired in an outage."""
         if key not in self.object_by_key or key in self._deferred_removal_by_key:
@@ -189,7 +200,11 @@
         self._disconnected_at = None
         if outage_seconds > MIN_OUTAGE_SECONDS:
             self._removal_grace_until = now + REMOVAL_GRACE_SECONDS
-        fields = {"prefix": self._prefix, "lost_ms": int(outage_seconds * 1000)}
+        fields = {
+            "prefix": self._prefix,
+            "lost_ms": int(outage_seconds * 1000),
+            "era": self._platform.era,
+        }
         logger.info("platform store available again", extra={"fields": fields})
 
     def _record_failure(self, error: PlatformError) -> None:
--- a/packages/ragwortpaddled/src/ragwortpaddled/protocol/__init__.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/__init__.py
@@ -57,6 +57,7 @@
     StoredObject,
     StoreRequest,
     Vm,
+    parse_era,
 )
 from ragwortpaddled.protocol._published import (
     CRASH_EVIDENCE_PREFIX,
@@ -211,4 +212,5 @@
     "end_to_end_headers",
     "parse_chat_request",
     "parse_completion_request",
+    "parse_era",
 ]
--- a/packages/ragwortpaddled/src/ragwortpaddled/protocol/_platform.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/_platform.py
@@ -1,5 +1,6 @@
 """The client of the platform's object API."""
 
+import logging
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -28,6 +29,8 @@
 MAX_VALUE_BYTES = 1_000_000
 ABSENT_VERSION = 0
 
+logger = logging.getLogger(__name__)
+
 
 class StoredObject(msgspec.Struct, frozen=True):
     """An object and its version, which increases with each write."""
@@ -116,6 +119,9 @@
     def decode_version(self, reply: HttpReply) -> int:
         """Decode the version from the reply to a successful write or to a version conflict."""
 
+    def decode_era(self, reply: HttpReply) -> int | None:
+        """Decode the number of the store's era, which each restore increments; None if absent."""
+
 
 class ObjectApiDialect:
     """The dialect of the object API that ragwortpaddle defines."""
@@ -158,12 +164,21 @@
         """Decode the version from the reply to a write."""
         return msgspec.json.decode(reply.body, type=_WriteResult).version
 
+    def decode_era(self, reply: HttpReply) -> int | None:
+        """Decode the store's era from the Object-Era header."""
+        return parse_era(reply.header(b"Object-Era"))
+
     @staticmethod
     def _write(method: str, key: str, body: bytes, expected: int) -> StoreRequest:
         path = f"/object?key={quote(key, safe='')}"
         return StoreRequest(method, path, body, ((b"If-Match", str(expected).encode()),))
 
 
+def parse_era(value: bytes | None) -> int | None:
+    """Return the era in a header's value, None if it is absent or malformed."""
+    return int(value) if value is not None and value.isdigit() else None
+
+
 class _VmList(msgspec.Struct, frozen=True):
     vms: list[Vm]
 
@@ -184,6 +199,7 @@
     ) -> None:
         self.calls_by_purpose: dict[str, int] = {}
         self.last_response_at = time.monotonic()
+        self.era = 0  # of the store; it increases when the store is restored from a copy
         self._http = http
         self._url = url
         self._timeout_seconds = timeout_seconds
@@ -263,6 +279,7 @@
                     timeout_seconds=self._timeout_seconds + wait_seconds,
                 )
             result = str(reply.status)
+            self._record_era(reply)
         except (NotSentError, ReplyLostError) as error:
             raise PlatformUnavailableError(str(error)) from error
         finally:
@@ -295,6 +312,7 @@
                     timeout_seconds=self._timeout_seconds,
                 )
             result = str(reply.status)
+            self._record_era(reply)
         except NotSentError as error:
             raise PlatformUnavailableError(str(error)) from error
         except ReplyLostError as error:
@@ -313,6 +331,15 @@
             raise PlatformUnavailableError(f"{key}: HTTP status {reply.status}")
         raise WriteOutcomeUnknownError(f"{key}: HTTP status {reply.status}")
 
+    def _record_era(self, reply: HttpReply) -> None:
+        era = self._dialect.decode_era(reply)
+        if era is None or era <= self.era:
+            return
+        if self.era:
+            fields = {"era": era, "previous_era": self.era}
+            logger.warning("platform store restored from a copy", extra={"fields": fields})
+        self.era = era
+
     def _count_call(self, purpose: str) -> None:
         self.calls_by_purpose[purpose] = self.calls_by_purpose.get(purpose, 0) + 1
 
--- a/packages/standins/src/ragwortpaddle_standins/relay_platform.py
+++ b/packages/standins/src/ragwortpaddle_standins/relay_platform.py
@@ -136,15 +136,26 @@
         self._server.abort()
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """The content of a store at one moment, from which it can be restored."""
+
+    revision: int
+    object_by_key: dict[str, dict]
+    changes: list[tuple[int, str, bool]]
+
+
 class Store(_ListeningServer):
     """The metadata store: objects by kind and name, one store revision, and watches.
 
     Faults: ``unavailable`` answers every call with 503, ``write_responses_to_lose`` is the number
-    of writes, counted down, that are applied and whose response is lost.
+    of writes, counted down, that are applied and whose response is lost. ``restore`` replaces the
+    content by a copy taken before, which takes the revision back and starts a new era.
     """
 
     def __init__(self) -> None:
         self.revision = 1
+        self.era = 1
         self.object_by_key: dict[str, dict] = {}
         self.calls: Counter[str] = Counter()
         self.unavailable = False
@@ -174,6 +185,32 @@
         self.oldest_retained_revision = self.revision + 1
         self._wake_watches()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the content; objects are replaced as a whole, never changed."""
+        return StoreCopy(self.revision, dict(self.object_by_key), list(self._changes))
+
+    def restore(self, copy: StoreCopy) -> dict[str, dict]:
+        """Restore a copy; return the objects by key that are lost or older since."""
+        lost_by_key = {
+            key: stored
+            for key, stored in self.object_by_key.items()
+            if copy.object_by_key.get(key) is not stored
+        }
+        self.era += 1
+        self.revision = copy.revision
+        self.object_by_key = dict(copy.object_by_key)
+        self._changes = list(copy.changes)
+        self.oldest_retained_revision = min(self.oldest_retained_revision, copy.revision)
+        self._wake_watches()
+        return lost_by_key
+
+    def rewrite(self, lost_by_key: dict[str, dict]) -> None:
+        """Write what the operator and the endpoints had written again after a restore."""
+        for key, stored in lost_by_key.items():
+            kind, _, name = key.partition("/")
+            if kind in ("config", "servers"):
+                self.put(kind, name, stored["spec"])
+
     def _record_change(self, key: str, *, removed: bool) -> None:
         self._changes.append((self.revision, key, removed))
         self._wake_watches()
@@ -189,13 +226,17 @@
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         self.calls[request.method.decode()] += 1
         if self.unavailable:
-            await responder.send(503, [], b"")
+            await responder.send(503, self._era_headers(), b"")
             return
         status, body = await self._dispatch(request, path_parts, query)
         if request.method != b"GET" and self.write_responses_to_lose:
             self.write_responses_to_lose -= 1
             raise ConnectionResetError("injected fault: response lost")
-        await responder.send(status, JSON_HEADERS, msgspec.json.encode(body))
+        headers = JSON_HEADERS + self._era_headers()
+        await responder.send(status, headers, msgspec.json.encode(body))
+
+    def _era_headers(self) -> list[tuple[bytes, bytes]]:
+        return [(b"Store-Era", str(self.era).encode())]
 
     async def _dispatch(
         self, request: ServerRequest, path_parts: list[str], query: dict[str, str]
@@ -238,17 +279,19 @@
     async def _watch(self, kind: str, after_revision: int, wait_ms: int) -> tuple[int, object]:
         try:
             async with asyncio.timeout(wait_ms / 1000):
-                while (
-                    not (events := self._list_events(kind, after_revision))
-                    and after_revision >= self.oldest_retained_revision - 1
+                while self._has_history_since(after_revision) and not (
+                    events := self._list_events(kind, after_revision)
                 ):
                     await self._changed.wait()
         except TimeoutError:
             events = []
-        if after_revision < self.oldest_retained_revision - 1:
+        if not self._has_history_since(after_revision):
             return 410, {"error": "history is gone"}
         return 200, {"events": events, "storeRevision": self.revision}
 
+    def _has_history_since(self, revision: int) -> bool:
+        return self.oldest_retained_revision - 1 <= revision <= self.revision
+
     def _list_events(self, kind: str, after_revision: int) -> list[dict]:
         events = []
         for revision, key, removed in self._changes:
--- a/tests/test_object_watcher.py
+++ b/tests/test_object_watcher.py
@@ -11,6 +11,8 @@
 class ScriptedPlatform:
     """Returns lists and watches from scripts, raises scripted errors, and then blocks."""
 
+    era = 0
+
     def __init__(self, lists: list, watches: list) -> None:
         self._lists = lists
         self._watches = watches
