Reproduce the ignored configuration and the missed change in tests that fail

The second needs no 410: a daemon that is away until the restored store has passed its revision gets the later events only.

--- /dev/null
+++ b/tests/test_restored_store.py
@@ -0,0 +1,106 @@
+"""The store comes back from an older copy: revisions go back and are given out again."""
+
+import asyncio
+import random
+import time
+from collections.abc import AsyncIterator
+
+import pytest
+from adapter import PlatformStoreDialect
+from ragwortpaddle_standins.relay_platform import Store, configuration
+from ragwortpaddled.coordination import ObjectWatcher
+from ragwortpaddled.protocol import PlatformClient
+from ragwortpaddled.transport import Http1Client
+from relay_fleet import RelayFleet, RelayTestBed
+
+APPLY_SECONDS = 2.0  # within which a configuration must be in force
+CONTACT_SECONDS = 3.0  # after a disturbance, until time limits apply again
+TIMEOUT_SECONDS = 8.0
+
+
+def configuration_with_route(version: int, prefix: str) -> dict:
+    """Return a configuration with one more safe route."""
+    content = configuration(version)
+    look = next(route for route in content["routes"] if route["name"] == "look")
+    content["routes"].append({**look, "name": prefix, "pathPrefix": f"/{prefix}/"})
+    return content
+
+
+class Fleet(RelayFleet):
+    """Three daemons whose store is restored from a copy by the test."""
+
+    @property
+    def store(self) -> Store:
+        return self.testbed.store
+
+    def publish_repeatedly(self, first_version: int, count: int) -> int:
+        """Publish versions in a row; return the last one."""
+        for version in range(first_version, first_version + count):
+            self.store.put("config", "main", configuration(version))
+        return first_version + count - 1
+
+    async def statuses(self, path: bytes) -> list[int]:
+        """Return the status that each daemon answers."""
+        heads = [
+            (await self.testbed.ask(b"GET", path, b"a-%d" % time.monotonic_ns(), daemon))[0]
+            for daemon in self.daemons
+        ]
+        return [head.status for head in heads]
+
+    async def wait_for_statuses(self, path: bytes, status: int, seconds: float) -> list[int]:
+        """Ask until all daemons answer a status or the time is over; return the last ones."""
+        deadline = time.monotonic() + seconds
+        while True:
+            statuses = await self.statuses(path)
+            if set(statuses) == {status} or time.monotonic() > deadline:
+                return statuses
+            await asyncio.sleep(0.05)
+
+
+@pytest.fixture
+async def fleet(tmp_path) -> AsyncIterator[Fleet]:
+    fleet = Fleet(RelayTestBed(tmp_path))
+    await fleet.start()
+    yield fleet
+    await fleet.stop()
+
+
+class TestConfiguration:
+    async def test_change_after_the_restore_is_in_force(self, fleet: Fleet) -> None:
+        copy = fleet.store.copy()
+        version = fleet.publish_repeatedly(2, 20)
+        await asyncio.sleep(0.3)
+        fleet.store.rewrite(fleet.store.restore(copy))
+        await asyncio.sleep(0.3)
+        fleet.store.put("config", "main", configuration_with_route(version + 2, "added"))
+        statuses = await fleet.wait_for_statuses(b"/added/1", 200, APPLY_SECONDS)
+        assert statuses == [200] * 3
+
+
+class TestWatch:
+    async def test_changes_below_the_known_revision_are_not_missed(self) -> None:
+        """The watch resumes only after the store has passed the revision known from before."""
+        store = Store()
+        await store.start()
+        copy = store.copy()
+        for number in range(5):
+            store.put("servers", "early", number)
+        http = Http1Client()
+        platform = PlatformClient(http, f"http://{store.address}", 1.0, PlatformStoreDialect())
+        keys: set[str] = set()
+        watcher = ObjectWatcher(
+            platform, "servers/", lambda key, _: keys.add(key), random.Random(1)
+        )
+        task = asyncio.create_task(watcher.run())
+        await asyncio.wait_for(watcher.initial_list_done.wait(), TIMEOUT_SECONDS)
+        store.restore(copy)
+        store.put("servers", "added", 1)
+        for number in range(9):
+            store.put("servers", "early", number)
+        deadline = time.monotonic() + TIMEOUT_SECONDS
+        while "servers/added" not in keys and time.monotonic() < deadline:
+            await asyncio.sleep(0.02)
+        task.cancel()
+        http.close()
+        store.stop()
+        assert "servers/added" in keys
