Order versions of the store's objects by its era, then by revision

A watch that resumed after the counter had passed its revision missed objects without any 410.

Cause: a number that is only unique within one life of the store was compared across two. A version now consists of the era and the revision. The one client adds the era to all it reads, sends bare revisions, treats a watch that crosses a restore as lost history, and doesn't send a conditional write whose version is from an earlier era. Ruled out: the configuration's own version (it was never decoded), the watch (the event arrived).

After a restore, removals get the grace period whatever the outage lasted, and changes of a peer that hasn't reached the store since are ignored.

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_object_watcher.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_object_watcher.py
@@ -1,4 +1,8 @@
-"""Keeps a copy of all objects below a prefix of the store: one list, then repeated watches."""
+"""Keeps a copy of all objects below a prefix of the store: one list, then repeated watches.
+
+Revisions here are versions, which include the era of the store: a list of a later era replaces
+what is known from before the restore.
+"""
 
 import asyncio
 import errno
@@ -8,7 +12,14 @@
 from collections.abc import Callable
 
 from ragwortpaddled.errors import HistoryLostError, PlatformError, ReplyTimeoutError
-from ragwortpaddled.protocol import ObjectChange, ObjectList, PlatformClient, StoredObject
+from ragwortpaddled.protocol import (
+    ObjectChange,
+    ObjectList,
+    PlatformClient,
+    StoredObject,
+    era_of,
+    revision_of,
+)
 
 WATCH_TIMEOUT_SECONDS = 20.0  # one billed call, however long; the platform's limit is 30 s
 MIN_RETRY_SECONDS = 0.1
@@ -82,6 +93,8 @@
     def merge_peer_changes(self, changes: list[ObjectChange]) -> None:
         """Apply changes that a peer saw, except those already known or outdated."""
         for change in changes:
+            if era_of(change.version) < era_of(self.revision):
+                continue  # the peer has not reached the store since it was restored
             self._latest_peer_version = max(self._latest_peer_version, change.version)
             if change.value is not None:
                 self._update(StoredObject(change.key, change.version, change.value))
@@ -123,6 +136,9 @@
         self._record_response()
         previous_revision = self.revision
         self.revision = listing.revision
+        if previous_revision and era_of(listing.revision) != era_of(previous_revision):
+            # Endpoints write the entries again that the restored store has lost.
+            self._removal_grace_until = time.monotonic() + REMOVAL_GRACE_SECONDS
         listed = {stored.key for stored in listing.objects}
         for stored in listing.objects:
             self._update(stored)
@@ -157,9 +173,10 @@
     def _log_ignored(self, stored: StoredObject, known_version: int) -> None:
         fields = {
             "key": stored.key,
-            "revision": stored.version,
-            "known_revision": known_version,
-            "era": self._platform.era,
+            "revision": revision_of(stored.version),
+            "era": era_of(stored.version),
+            "known_revision": revision_of(known_version),
+            "known_era": era_of(known_version),
         }
         logger.info("older version of an object ignored", extra={"fields": fields})
 
--- a/packages/ragwortpaddled/src/ragwortpaddled/protocol/__init__.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/__init__.py
@@ -113,6 +113,7 @@
     ServiceClient,
     end_to_end_headers,
 )
+from ragwortpaddled.protocol._store_version import era_of, make_version, revision_of
 
 __all__ = [
     "ABSENT_VERSION",
@@ -210,7 +211,10 @@
     "encode_message",
     "encode_value",
     "end_to_end_headers",
+    "era_of",
+    "make_version",
     "parse_chat_request",
     "parse_completion_request",
     "parse_era",
+    "revision_of",
 ]
--- a/packages/ragwortpaddled/src/ragwortpaddled/protocol/_platform.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/_platform.py
@@ -21,6 +21,7 @@
     VersionConflictError,
     WriteOutcomeUnknownError,
 )
+from ragwortpaddled.protocol._store_version import era_of, make_version, revision_of
 from ragwortpaddled.telemetry import trace_headers, tracer
 from ragwortpaddled.transport import HttpExchange, HttpReply
 
@@ -33,7 +34,10 @@
 
 
 class StoredObject(msgspec.Struct, frozen=True):
-    """An object and its version, which increases with each write."""
+    """An object and its version, which increases with each write and each restore of the store.
+
+    The versions that a dialect decodes are revisions; the client adds the era.
+    """
 
     key: str
     version: int
@@ -213,11 +217,15 @@
         reply = await self._read(self._dialect.get(key), purpose)
         if reply.status == 404:
             return None
-        return _decode(lambda: self._dialect.decode_object(key, reply))
+        stored = _decode(lambda: self._dialect.decode_object(key, reply))
+        return _add_era(stored, self._era_of_reply(reply))
 
     async def put(self, key: str, value: str, expected: int, purpose: str) -> int:
         """Write an object if it is at the expected version; return the new version.
 
+        A version from before a restore of the store is not sent: its revision may be given out
+        again for another write.
+
         :raises VersionConflictError: the object is at another version
         :raises ValueTooLargeError: the value exceeds the size limit
         :raises PlatformUnavailableError: the write did not take effect
@@ -227,11 +235,15 @@
             raise ValueTooLargeError(
                 f"{key}: {len(value.encode())} bytes exceed the limit of {MAX_VALUE_BYTES} bytes"
             )
-        return await self._write(key, self._dialect.put(key, value, expected), purpose)
+        await self._check_era(key, expected, purpose)
+        call = self._dialect.put(key, value, revision_of(expected))
+        return await self._write(key, call, expected, purpose)
 
     async def delete(self, key: str, expected: int, purpose: str) -> None:
         """Delete an object if it is at the expected version; raises as ``put`` does."""
-        await self._write(key, self._dialect.delete(key, expected), purpose)
+        await self._check_era(key, expected, purpose)
+        call = self._dialect.delete(key, revision_of(expected))
+        await self._write(key, call, expected, purpose)
 
     async def list_objects(self, prefix: str, purpose: str) -> ObjectList:
         """Return all objects whose keys start with ``prefix``.
@@ -240,24 +252,37 @@
         """
         objects: list[StoredObject] = []
         after = ""
+        first_era = None
         while True:
             reply = await self._read(self._dialect.list_objects(prefix, after), purpose)
             page = _decode(partial(self._dialect.decode_list, prefix, reply))
-            objects += page.objects
+            era = self._era_of_reply(reply)
+            first_era = era if first_era is None else first_era
+            if era != first_era:
+                raise PlatformUnavailableError(f"{prefix}: the store was restored during the list")
+            objects += [_add_era(stored, era) for stored in page.objects]
             after = page.continue_after
             if not after:
-                return ObjectList(page.revision, objects)
+                return ObjectList(make_version(era, page.revision), objects)
 
     async def watch(self, prefix: str, after: int, wait_seconds: float, purpose: str) -> ObjectList:
-        """Wait for changes, after a revision, of objects whose keys start with ``prefix``.
+        """Wait for changes, after a version, of objects whose keys start with ``prefix``.
 
-        :raises HistoryLostError: the platform no longer has the changes since that revision
+        :raises HistoryLostError: the platform no longer has the changes since that version, or it
+            was restored since
         :raises PlatformUnavailableError: the platform did not serve the request
         """
-        wait_ms = int(wait_seconds * 1000)
-        call = self._dialect.watch(prefix, after, wait_ms)
+        restored = f"{prefix}: the store was restored since era {era_of(after)}"
+        if era_of(after) != self.era:
+            raise HistoryLostError(restored)
+        call = self._dialect.watch(prefix, revision_of(after), int(wait_seconds * 1000))
         reply = await self._read(call, purpose, wait_seconds)
-        return _decode(lambda: self._dialect.decode_changes(prefix, reply))
+        era = self._era_of_reply(reply)
+        if era_of(after) != era:
+            raise HistoryLostError(restored)
+        changes = _decode(lambda: self._dialect.decode_changes(prefix, reply))
+        objects = [_add_era(stored, era) for stored in changes.objects]
+        return ObjectList(make_version(era, changes.revision), objects, changes.removed)
 
     async def list_vms(self, purpose: str) -> list[Vm]:
         """Return the platform's list of live and leaving VMs, which may be out of date.
@@ -295,7 +320,15 @@
             raise PlatformError(f"{call.path}: unexpected HTTP status {reply.status}")
         return reply
 
-    async def _write(self, key: str, call: StoreRequest, purpose: str) -> int:
+    async def _check_era(self, key: str, expected: int, purpose: str) -> None:
+        if expected == ABSENT_VERSION or era_of(expected) == self.era:
+            return
+        # The read also shows the era if this is the client's first call.
+        stored = await self.get(key, purpose)
+        if era_of(expected) != self.era:
+            raise VersionConflictError(key, stored.version if stored else ABSENT_VERSION)
+
+    async def _write(self, key: str, call: StoreRequest, expected: int, purpose: str) -> int:
         self._count_call(purpose)
         result = "no answer"
         try:
@@ -319,18 +352,26 @@
             raise WriteOutcomeUnknownError(str(error)) from error
         finally:
             telemetry.platform_calls.add(1, {"purpose": purpose, "result": result})
+        era = self._era_of_reply(reply)
+        decode_version = partial(self._dialect.decode_version, reply)
         if reply.status in (200, 201):
-            return _decode(lambda: self._dialect.decode_version(reply))
-        if reply.status in (404, 409):
-            decode_version = partial(self._dialect.decode_version, reply)
-            current = ABSENT_VERSION if reply.status == 404 else _decode(decode_version)
-            raise VersionConflictError(key, current)
+            if expected != ABSENT_VERSION and era_of(expected) != era:
+                raise WriteOutcomeUnknownError(f"{key}: the store was restored before the write")
+            return make_version(era, _decode(decode_version))
+        if reply.status == 404:
+            raise VersionConflictError(key, ABSENT_VERSION)
+        if reply.status == 409:
+            raise VersionConflictError(key, make_version(era, _decode(decode_version)))
         if reply.status == 413:
             raise ValueTooLargeError(f"{key}: the platform rejected the size of the value")
         if reply.status in (429, 503):
             raise PlatformUnavailableError(f"{key}: HTTP status {reply.status}")
         raise WriteOutcomeUnknownError(f"{key}: HTTP status {reply.status}")
 
+    def _era_of_reply(self, reply: HttpReply) -> int:
+        era = self._dialect.decode_era(reply)
+        return self.era if era is None else era
+
     def _record_era(self, reply: HttpReply) -> None:
         era = self._dialect.decode_era(reply)
         if era is None or era <= self.era:
@@ -344,6 +385,10 @@
         self.calls_by_purpose[purpose] = self.calls_by_purpose.get(purpose, 0) + 1
 
 
+def _add_era(stored: StoredObject, era: int) -> StoredObject:
+    return StoredObject(stored.key, make_version(era, stored.version), stored.value)
+
+
 def _decode(decode: Callable[[], T]) -> T:
     try:
         return decode()
--- /dev/null
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/_store_version.py
@@ -0,0 +1,22 @@
+"""Versions that stay ordered when the store is restored from a copy.
+
+A restore takes the store's revision back, and the same revisions are given out again. Its era
+increases with each restore, so a version consists of the era and the revision, era first.
+"""
+
+REVISION_BITS = 40  # with an era below 8192, a version fits into the integers of JSON
+
+
+def make_version(era: int, revision: int) -> int:
+    """Return the version of a revision in an era; later eras are greater than earlier ones."""
+    return (era << REVISION_BITS) + revision
+
+
+def era_of(version: int) -> int:
+    """Return the era of a version."""
+    return version >> REVISION_BITS
+
+
+def revision_of(version: int) -> int:
+    """Return the revision of a version within its era."""
+    return version & ((1 << REVISION_BITS) - 1)
