Raise fencing tokens above those that a restored store has lost

A token now starts with the era of the store, exceeds every token that the daemon has seen, and for one duration after a restore the lease counts as held by an unknown holder. A holder that the copy still names continues with a new token. The first write after a restore, whose revision may have been given out again, gives the lease up.

Tokens are compared with the first of their era, since they are no longer small.

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_lease.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_lease.py
@@ -5,6 +5,9 @@
 for its whole duration. So the lease always expires at its holder before another can acquire it.
 Both measure on a clock that runs on while the VM is suspended, unlike ``time.monotonic``: a holder
 that wakes up finds its lease expired.
+
+A store that is restored from a copy has lost what was granted since. So a fencing token contains the
+era of the store, and for one duration after a restore the lease counts as held by an unknown holder.
 """
 
 import logging
@@ -17,7 +20,7 @@
     VersionConflictError,
     WriteOutcomeUnknownError,
 )
-from ragwortpaddled.protocol import PlatformClient
+from ragwortpaddled.protocol import ABSENT_VERSION, PlatformClient, era_of, make_version
 
 LEASE_DURATION_SECONDS = 3.0
 SAFETY_MARGIN_SECONDS = 0.5  # the process may pause between checking the lease and acting
@@ -51,6 +54,9 @@
         self._valid_until = 0.0
         self._observed_version = -1
         self._observed_at = 0.0
+        self._observed_era: int | None = None
+        self._restored_at = float("-inf")
+        self._highest_token = 0
         self._renewal_count = 0
         self._last_write_confirmed = False
 
@@ -58,6 +64,14 @@
         """Return the seconds for which this daemon certainly holds the lease, by its own clock."""
         return max(0.0, self._valid_until - SAFETY_MARGIN_SECONDS - boot_time())
 
+    def observe_token(self, fencing_token: int) -> None:
+        """Note a token that another daemon was granted, which a later one must exceed."""
+        self._highest_token = max(self._highest_token, fencing_token)
+
+    def forfeit(self) -> None:
+        """Stop acting under the lease, since an endpoint has seen a higher fencing token."""
+        self._valid_until = 0.0
+
     async def acquire_or_renew(self) -> bool:
         """Renew the lease, or acquire it if it has expired; return whether it is held."""
         try:
@@ -82,14 +96,32 @@
 
     async def _acquire_or_renew(self) -> bool:
         sent_at = boot_time()
-        if self.remaining_seconds() > 0 and self._last_write_confirmed:
+        current_era = era_of(self._observed_version) == self._platform.era
+        if self.remaining_seconds() > 0 and self._last_write_confirmed and current_era:
             # The version returned by the last write is still current, so no read is needed.
-            self._renewal_count += 1
-            renewed = LeaseValue(self._holder, self.fencing_token, self._renewal_count)
-            return await self._write_held(renewed, self._observed_version, sent_at)
+            return await self._renew(self._observed_version, sent_at)
+        value, version = await self._read()
+        if (
+            self.remaining_seconds() > 0
+            and value.holder == self._holder
+            and value.fencing == self.fencing_token
+        ):
+            if era_of(self.fencing_token) == self._platform.era:
+                self._renewal_count = value.beat
+                return await self._renew(version, sent_at)
+            return await self._acquire(value, version, sent_at)
+        if sent_at < self._free_from(value):
+            return False
+        return await self._acquire(value, version, sent_at)
+
+    async def _read(self) -> tuple[LeaseValue, int]:
+        """Return the stored lease and its version; note when the store or the lease changed."""
         stored = await self._platform.get(self._key, PURPOSE)
+        if self._observed_era is not None and self._observed_era != self._platform.era:
+            self._restored_at = boot_time()
+        self._observed_era = self._platform.era
         if stored is None:
-            return await self._acquire(LeaseValue("", 0, 0), 0, sent_at)
+            return LeaseValue("", 0, 0), ABSENT_VERSION
         try:
             value = msgspec.json.decode(stored.value, type=LeaseValue)
         except msgspec.MsgspecError as error:
@@ -98,20 +130,27 @@
         if stored.version != self._observed_version:
             # Measured from after the read: the lease may have been renewed during it.
             self._observed_version, self._observed_at = stored.version, boot_time()
-        self._renewal_count = value.beat
-        held_here = value.holder == self._holder and value.fencing == self.fencing_token
-        if held_here and self.remaining_seconds() > 0:
-            self._renewal_count += 1
-            renewed = LeaseValue(self._holder, self.fencing_token, self._renewal_count)
-            return await self._write_held(renewed, stored.version, sent_at)
-        if value.holder and sent_at - self._observed_at < LEASE_DURATION_SECONDS:
-            return False
-        return await self._acquire(value, stored.version, sent_at)
+        self.observe_token(value.fencing)
+        return value, stored.version
+
+    def _free_from(self, value: LeaseValue) -> float:
+        """Return the boot time from which no other daemon can hold the lease."""
+        free_from = self._restored_at + LEASE_DURATION_SECONDS
+        is_from_copy = era_of(value.fencing) < self._platform.era
+        if value.holder or is_from_copy:
+            free_from = max(free_from, self._observed_at + LEASE_DURATION_SECONDS)
+        return free_from
+
+    async def _renew(self, version: int, sent_at: float) -> bool:
+        self._renewal_count += 1
+        renewed = LeaseValue(self._holder, self.fencing_token, self._renewal_count)
+        return await self._write_held(renewed, version, sent_at)
 
     async def _acquire(self, previous: LeaseValue, version: int, sent_at: float) -> bool:
         self._valid_until = 0.0
         self._renewal_count = 0
-        acquired = LeaseValue(self._holder, previous.fencing + 1, 0)
+        highest = max(previous.fencing, self._highest_token, make_version(self._platform.era, 0))
+        acquired = LeaseValue(self._holder, highest + 1, 0)
         if not await self._write_held(acquired, version, sent_at):
             return False
         self.fencing_token = acquired.fencing
@@ -124,6 +163,9 @@
             self._observed_version = await self._write(value, version)
         except (VersionConflictError, WriteOutcomeUnknownError):
             # The next read of the lease shows whether the write took effect.
+            if version != ABSENT_VERSION and era_of(version) != self._platform.era:
+                # The write may have replaced a lease that was granted after the restore.
+                self._valid_until = 0.0
             return self.remaining_seconds() > 0
         self._last_write_confirmed = True
         self._observed_at = sent_at
