Keep the placement plan that is newer than the restored one

After a restore, the lease holder loaded the plan of the copy and moved all engines back: in the test, four of four engines loaded their layers again and no chain was complete meanwhile.

Cause: the plan in the store was taken for the newest, though the holder had a newer one in memory. The plan that was made under the higher fencing token is the newer one; at equal tokens it is the holder's own, which is written again. After a write of unknown outcome the stored plan counts.

test_layers_stay_where_they_are_when_the_copy_has_an_older_plan failed before, and passes. A holder that starts after the restore still knows only the copy.

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_layer_placer.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_layer_placer.py
@@ -12,8 +12,9 @@
 from ragwortpaddled.coordination._engine_reports import EngineReports
 from ragwortpaddled.coordination._lease import Lease
 from ragwortpaddled.coordination._relay_directory import RelayDirectory
-from ragwortpaddled.errors import PlatformError, TransportError
+from ragwortpaddled.errors import PlatformError, TransportError, WriteOutcomeUnknownError
 from ragwortpaddled.protocol import (
+    ABSENT_VERSION,
     Dialect,
     EndpointEntry,
     LayeredModel,
@@ -124,12 +125,22 @@
 
     async def _load_plans(self) -> None:
         """Load the stored plans, after acquiring the lease and after a failed write."""
+        fencing_token = self._lease.fencing_token
         try:
             plan_by_pool = {}
             for pool in self._model_by_pool():
-                plan_by_pool[pool] = await _read_plan(self._platform, pool)
+                plan = await _read_plan(self._platform, pool)
+                known = self._plan_by_pool.get(pool)
+                if known is not None and known.fencing >= plan.fencing:
+                    # No daemon has planned since under a higher token, so a plan that differs is
+                    # older: the store was restored from a copy.
+                    await self._restore_plan(pool, known, plan)
+                    plan = known
+                plan_by_pool[pool] = plan
         except PlatformError as error:
-            logger.warning("placement plan not read", extra={"fields": {"reason": str(error)}})
+            logger.warning(
+                "placement plan not read or restored", extra={"fields": {"reason": str(error)}}
+            )
             return
         self._plan_by_pool = plan_by_pool
         self._last_order_by_id.clear()
@@ -140,16 +151,28 @@
             for chain in plan.chains
             for stage in chain
         }
-        self._fencing_token = self._lease.fencing_token
+        self._fencing_token = fencing_token
         logger.info("placement plans loaded", extra={"fields": {"fencing": self._fencing_token}})
 
+    async def _restore_plan(self, pool: str, known: "_Plan", stored: "_Plan") -> None:
+        """Write the known plan if the stored one is older."""
+        known.version = stored.version
+        if known.chains == stored.chains:
+            return
+        fencing_token = self._lease.fencing_token
+        known.version = await _write_plan(
+            self._platform, pool, known.chains, stored.version, fencing_token
+        )
+        known.fencing = fencing_token
+        logger.info("newer placement plan stored again", extra={"fields": {"pool": pool}})
+
     async def _update_placement(self) -> None:
         if self._fencing_token != self._lease.fencing_token:
             return
         for pool, model in self._model_by_pool().items():
             plan = self._plan_by_pool.get(pool)
             if plan is None:
-                plan = self._plan_by_pool[pool] = _Plan(0, [])
+                plan = self._plan_by_pool[pool] = _Plan(ABSENT_VERSION, 0, [])
             entries = {
                 e.id: e
                 for e in self._relay_directory.endpoints_in_pool(pool)
@@ -188,8 +211,11 @@
         except PlatformError as error:
             logger.warning("placement plan not written", extra={"fields": {"reason": str(error)}})
             self._fencing_token = 0
+            if isinstance(error, WriteOutcomeUnknownError):
+                del self._plan_by_pool[pool]  # the stored plan may be newer
             return
         plan.chains = chains
+        plan.fencing = self._fencing_token
         fields = {
             "pool": pool,
             "chains": len(chains),
@@ -265,10 +291,14 @@
 
 
 class _Plan:
-    """The chains of one pool, and the ids of the engines considered for them."""
+    """The chains of one pool, and the ids of the engines considered for them.
+
+    ``fencing`` is the token under which the chains were planned.
+    """
 
-    def __init__(self, version: int, chains: list[Chain]) -> None:
+    def __init__(self, version: int, fencing: int, chains: list[Chain]) -> None:
         self.version = version
+        self.fencing = fencing
         self.chains = chains
         self.planned_ids: set[str] = set()
 
@@ -276,17 +306,17 @@
 async def _read_plan(platform: PlatformClient, pool: str) -> _Plan:
     stored = await platform.get(PLAN_PREFIX + pool, PURPOSE)
     if stored is None:
-        return _Plan(0, [])
+        return _Plan(ABSENT_VERSION, 0, [])
     try:
         value = msgspec.json.decode(stored.value, type=_PlanValue)
     except msgspec.MsgspecError as error:
         fields = {"key": stored.key, "reason": str(error)}
         logger.warning("malformed placement plan ignored, planning again", extra={"fields": fields})
-        return _Plan(stored.version, [])
+        return _Plan(stored.version, 0, [])
     chains = [
         tuple(Stage(s.engine, LayerRange(s.first, s.end)) for s in chain) for chain in value.chains
     ]
-    return _Plan(stored.version, chains)
+    return _Plan(stored.version, value.fencing, chains)
 
 
 async def _write_plan(
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -59,6 +59,20 @@
         await daemon.start()
         return daemon
 
+    async def replace_engine(self, index: int, pause_seconds: float = 0.0) -> None:
+        """Remove an engine, start another one after a pause; wait until it holds layers."""
+        removed = self.engines.pop(index)
+        removed.remove()
+        removed.stop()
+        await asyncio.sleep(pause_seconds)
+        number = len(self.store.object_by_key) + self.store.revision
+        engine = Engine(self.store, f"engine-{number}", "model", "dc-a", 96, "card")
+        await engine.start()
+        self.engines.insert(index, engine)
+        for known in self.engines:
+            known.set_peers(self.engines)
+        await self.wait(lambda: bool(engine.layers), "layers of the new engine")
+
     async def stop(self) -> None:
         """Stop the daemon and all stand-ins."""
         self.pool.close()
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -77,6 +77,36 @@
         assert statuses == [200] * 3
 
 
+class TestPlacement:
+    async def test_layers_stay_where_they_are_when_the_copy_has_an_older_plan(
+        self, fleet: Fleet
+    ) -> None:
+        testbed = fleet.testbed
+        copy = fleet.store.copy()
+        for index in (0, 2):
+            await testbed.replace_engine(index, pause_seconds=1.0)
+        plan = fleet.store.object_by_key["placements/model"]["spec"]["chains"]
+        orders = {engine.id: engine.accepted_order_count for engine in testbed.engines}
+        fleet.store.rewrite(fleet.store.restore(copy))
+        for name in ("engine-0", "engine-2"):
+            fleet.store.remove("servers", name)
+        await testbed.wait(
+            lambda: fleet.store.object_by_key["placements/model"]["spec"]["chains"] == plan, "plan"
+        )
+        await asyncio.sleep(CONTACT_SECONDS)
+        assert {engine.id: engine.accepted_order_count for engine in testbed.engines} == orders
+
+    async def test_orders_after_the_restore_are_accepted(self, fleet: Fleet) -> None:
+        """Engines have seen fencing tokens that the restored store has lost."""
+        testbed = fleet.testbed
+        copy = fleet.store.copy()
+        for engine in testbed.engines:
+            engine.highest_fence += 5
+        fleet.store.rewrite(fleet.store.restore(copy))
+        await testbed.replace_engine(0)
+        assert all(engine.layers for engine in testbed.engines)
+
+
 class TestWatch:
     async def test_changes_below_the_known_revision_are_not_missed(self) -> None:
         """The watch resumes only after the store has passed the revision known from before."""
