Give up the lease when an engine or a peer knows a higher fencing token

The holder repeated a refused order (412) with the same token for as long as it held the lease, so that the engine got no layers. It now gives the lease up and acquires it with a higher token; the highest token known travels with the exchange between peers, so that it doesn't rest on the store alone. Without the era in the tokens, a restore would have led to this.

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_layer_placer.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_layer_placer.py
@@ -34,6 +34,7 @@
 RESEND_INTERVAL_SECONDS = 2.0
 ORDER_TIMEOUT_SECONDS = 1.0
 BUSY_STATUS = 409  # the engine is still executing an earlier order
+OUTDATED_TOKEN_STATUS = 412  # the engine has seen a higher fencing token
 BUSY_RETRY_SECONDS = 0.5  # loading a tenth of the layers takes about a second
 LOOP_INTERVAL_SECONDS = 0.1
 PURPOSE = "placement"
@@ -85,9 +86,16 @@
         """Return whether this daemon holds the lease and so places layers."""
         return self._lease.remaining_seconds() > 0
 
-    def record_peer_holder(self) -> None:
-        """Record that a peer holds the lease, which saves a read of the store."""
-        self._peer_holder_seen_at = time.monotonic()
+    @property
+    def highest_fencing_token(self) -> int:
+        """Return the highest fencing token that this daemon knows of."""
+        return self._lease.highest_token
+
+    def record_peer_state(self, *, holds_lease: bool, fencing_token: int) -> None:
+        """Record whether a peer holds the lease, which saves a read of the store, and its token."""
+        self._lease.observe_token(fencing_token)
+        if holds_lease:
+            self._peer_holder_seen_at = time.monotonic()
 
     async def run(self) -> None:
         """Keep the lease where possible and place layers under it, for the life of the daemon."""
@@ -285,6 +293,9 @@
             logger.warning("order lost", extra={"fields": {**fields, "reason": str(error)}})
             return
         logger.info("order given", extra={"fields": {**fields, "status": reply.status}})
+        if reply.status == OUTDATED_TOKEN_STATUS and order.fencing == self._lease.fencing_token:
+            logger.warning("lease given up, an engine has seen a higher fencing token")
+            self._lease.forfeit()
         if reply.status == BUSY_STATUS:
             sent_at = time.monotonic() - RESEND_INTERVAL_SECONDS + BUSY_RETRY_SECONDS
             self._last_order_by_id[entry.id] = (stage.layers, sent_at)
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_lease.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_lease.py
@@ -6,8 +6,9 @@
 Both measure on a clock that runs on while the VM is suspended, unlike ``time.monotonic``: a holder
 that wakes up finds its lease expired.
 
-A store that is restored from a copy has lost what was granted since. So a fencing token contains the
-era of the store, and for one duration after a restore the lease counts as held by an unknown holder.
+A store that is restored from a copy has lost what was granted since. So a fencing token contains
+the era of the store, and for one duration after a restore the lease counts as held by an unknown
+holder.
 """
 
 import logging
@@ -47,6 +48,7 @@
 
     def __init__(self, platform: PlatformClient, name: str, holder: str) -> None:
         self.fencing_token = 0
+        self.highest_token = 0  # granted to any daemon, as far as known
         self.acquired_at = 0.0
         self._platform = platform
         self._key = f"leases/{name}"
@@ -56,7 +58,6 @@
         self._observed_at = 0.0
         self._observed_era: int | None = None
         self._restored_at = float("-inf")
-        self._highest_token = 0
         self._renewal_count = 0
         self._last_write_confirmed = False
 
@@ -65,11 +66,13 @@
         return max(0.0, self._valid_until - SAFETY_MARGIN_SECONDS - boot_time())
 
     def observe_token(self, fencing_token: int) -> None:
-        """Note a token that another daemon was granted, which a later one must exceed."""
-        self._highest_token = max(self._highest_token, fencing_token)
+        """Note a token that was granted; a higher one than the own ends the own lease."""
+        self.highest_token = max(self.highest_token, fencing_token)
+        if fencing_token > self.fencing_token:
+            self.forfeit()
 
     def forfeit(self) -> None:
-        """Stop acting under the lease, since an endpoint has seen a higher fencing token."""
+        """Stop acting under the lease, since a higher fencing token is in use."""
         self._valid_until = 0.0
 
     async def acquire_or_renew(self) -> bool:
@@ -109,10 +112,10 @@
             if era_of(self.fencing_token) == self._platform.era:
                 self._renewal_count = value.beat
                 return await self._renew(version, sent_at)
-            return await self._acquire(value, version, sent_at)
+            return await self._acquire(version, sent_at)
         if sent_at < self._free_from(value):
             return False
-        return await self._acquire(value, version, sent_at)
+        return await self._acquire(version, sent_at)
 
     async def _read(self) -> tuple[LeaseValue, int]:
         """Return the stored lease and its version; note when the store or the lease changed."""
@@ -146,14 +149,15 @@
         renewed = LeaseValue(self._holder, self.fencing_token, self._renewal_count)
         return await self._write_held(renewed, version, sent_at)
 
-    async def _acquire(self, previous: LeaseValue, version: int, sent_at: float) -> bool:
+    async def _acquire(self, version: int, sent_at: float) -> bool:
         self._valid_until = 0.0
         self._renewal_count = 0
-        highest = max(previous.fencing, self._highest_token, make_version(self._platform.era, 0))
+        highest = max(self.highest_token, make_version(self._platform.era, 0))
         acquired = LeaseValue(self._holder, highest + 1, 0)
         if not await self._write_held(acquired, version, sent_at):
             return False
         self.fencing_token = acquired.fencing
+        self.observe_token(acquired.fencing)
         self.acquired_at = time.monotonic()
         return True
 
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_peers.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_peers.py
@@ -256,8 +256,9 @@
             message.name, {frozenset(link): bits for link, bits in message.link_bits}
         )
         self._relay_directory.request_limits.merge_peer(message.request_limits)
-        if message.places_layers:
-            self._layer_placer.record_peer_holder()
+        self._layer_placer.record_peer_state(
+            holds_lease=message.places_layers, fencing_token=message.fencing_token
+        )
         self._crash_tracker.merge(message.crashes)
 
     def _own_state(self, *, with_crashes: bool) -> RelayNews:
@@ -278,6 +279,7 @@
             crash_records.digest,
             crash_records.reports() if with_crashes else [],
             self._relay_directory.request_limits.reports(),
+            self._layer_placer.highest_fencing_token,
         )
 
     async def _handle_message(self, body: bytes) -> bytes:
--- a/packages/ragwortpaddled/src/ragwortpaddled/protocol/_peers.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/_peers.py
@@ -98,6 +98,7 @@
     crashes: list[CrashReport] = []
     # Milliseconds since the last answer and requests a second, None after the end of a limit.
     request_limits: dict[str, tuple[int, float | None]] = {}
+    fencing_token: int = 0  # the highest that the daemon knows of
 
 
 class RelayNewsReply(msgspec.Struct, frozen=True, tag="relay_news_reply"):
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -96,6 +96,12 @@
         await asyncio.sleep(CONTACT_SECONDS)
         assert {engine.id: engine.accepted_order_count for engine in testbed.engines} == orders
 
+    async def test_holder_whose_token_engines_refuse_gets_a_higher_one(self, fleet: Fleet) -> None:
+        testbed = fleet.testbed
+        testbed.engines[0].highest_fence += 1
+        testbed.engines[0].crash()
+        await testbed.wait(lambda: all(engine.layers for engine in testbed.engines), "layers")
+
     async def test_orders_after_the_restore_are_accepted(self, fleet: Fleet) -> None:
         """Engines have seen fencing tokens that the restored store has lost."""
         testbed = fleet.testbed
