Register daemons and store the peer key again after a restore

A daemon that joined after the copy was taken was missing in the restored store for good: after the grace period its peers dropped it and counted one daemon less, and a daemon that started later never learned of it. A peer key that the copy lacks was created anew by the next daemon to start, which the others then refused.

Cause: the entry and the key were written once and taken to be there for ever. Each daemon now checks both once per era, and writes only what is missing. A different stored key signs from then on, the former one still verifies; keys get random ids, since two may be created.

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_peers.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_peers.py
@@ -33,6 +33,7 @@
     StoredObject,
     decode_message,
     encode_message,
+    era_of,
 )
 from ragwortpaddled.state import PoolRetryBudget
 from ragwortpaddled.transport import KeyRing, PeerServer
@@ -40,6 +41,7 @@
 DAEMONS_PREFIX = "daemons/"
 PEER_KEY_OBJECT = "keys/peers"
 PEER_KEY_BYTES = 32
+PEER_KEY_ID_BYTES = 4
 PURPOSE = "peers"
 GOSSIP_INTERVAL_SECONDS = 0.4  # a configuration reaches 9 daemons in 2 or 3 rounds
 GOSSIP_FANOUT = 2
@@ -47,6 +49,7 @@
 MIN_ROUND_INTERVAL_SECONDS = 0.1  # between rounds that news of crashes starts
 CRASH_PUSH_SECONDS = 2.0  # records that changed before are only sent on request
 JOIN_RETRY_SECONDS = 1.0
+REJOIN_SPREAD_SECONDS = 1.0  # daemons notice a restore of the store at the same moment
 DAEMON_WATCH_PAUSE_SECONDS = 1.0  # a joining daemon contacts the others itself
 
 logger = logging.getLogger(__name__)
@@ -80,6 +83,9 @@
         self._address = listen
         self._random = random_source
         self._keys = KeyRing()
+        self._key_text = ""
+        self._joined_era = 0
+        self._rejoin_task: asyncio.Task[None] | None = None
         self._links = PeerLinks(self._keys)
         self._server: PeerServer | None = None
         self._address_by_name: dict[str, str] = {}
@@ -110,6 +116,7 @@
         self._server.start()
         self._address = self._server.address
         await self._retry(self._register)
+        self._joined_era = era_of(self._entry_version)
         watcher_task = asyncio.create_task(self._object_watcher.run())
         try:
             while True:
@@ -118,6 +125,7 @@
                     self._relay_directory.loads.daemon_count,
                     immediate=self._layer_placer.holds_lease,
                 )
+                self._rejoin_after_restore()
                 self._start_gossip_round()
         finally:
             watcher_task.cancel()
@@ -126,6 +134,8 @@
         """Remove this daemon's entry from the store and close the connections."""
         if self._round_timer is not None:
             self._round_timer.cancel()
+        if self._rejoin_task is not None:
+            self._rejoin_task.cancel()
         for task in self._exchange_tasks:
             task.cancel()
         if self._server is not None:
@@ -148,13 +158,39 @@
                 logger.warning("joining peers failed, retrying", extra={"fields": fields})
                 await asyncio.sleep(JOIN_RETRY_SECONDS * self._random.uniform(0.5, 1.0))
 
+    def _rejoin_after_restore(self) -> None:
+        """Store the key and the own entry again if the store has been restored without them."""
+        era = era_of(self._object_watcher.revision)  # whose objects the watcher has listed
+        if era <= self._joined_era:
+            return
+        self._joined_era = era
+        if self._rejoin_task is not None:
+            self._rejoin_task.cancel()
+        self._rejoin_task = asyncio.create_task(self._rejoin())
+
+    async def _rejoin(self) -> None:
+        await asyncio.sleep(REJOIN_SPREAD_SECONDS * self._random.random())
+        await self._retry(self._load_key)
+        key = DAEMONS_PREFIX + self._name
+        stored = self._object_watcher.object_by_key.get(key)
+        if (
+            stored is not None
+            and stored.value == self._entry_value()
+            and era_of(stored.version) == self._platform.era
+        ):
+            self._entry_version = stored.version
+            return
+        await self._retry(self._register)
+        logger.info("registered again, the store had lost the entry")
+
     async def _load_key(self) -> None:
+        """Load the stored key, or store one; keep the own key for peers that use it still."""
         stored = await self._platform.get(PEER_KEY_OBJECT, PURPOSE)
         if stored is None:
-            text = f"first {secrets.token_hex(PEER_KEY_BYTES)}\n"
+            text = self._key_text or _create_key()
             try:
                 await self._platform.put(
-                    PEER_KEY_OBJECT, msgspec.json.encode(text).decode(), 0, PURPOSE
+                    PEER_KEY_OBJECT, msgspec.json.encode(text).decode(), ABSENT_VERSION, PURPOSE
                 )
             except VersionConflictError:
                 logger.debug("peer key already created by another daemon")
@@ -162,13 +198,19 @@
         if stored is None:
             raise PlatformError(f"peer key {PEER_KEY_OBJECT} is missing")
         try:
-            self._keys.load(msgspec.json.decode(stored.value, type=str))
-        except (ValueError, msgspec.MsgspecError) as error:
+            text = msgspec.json.decode(stored.value, type=str)
+            # The first key signs, and a daemon that has just started knows only the stored one.
+            self._keys.load(text if self._key_text in text else f"{text}\n{self._key_text}")
+        except (msgspec.MsgspecError, ValueError) as error:
             raise PlatformError(f"peer key {PEER_KEY_OBJECT} is malformed: {error}") from error
+        self._key_text = text
+
+    def _entry_value(self) -> str:
+        return msgspec.json.encode(_DaemonEntry(self._address)).decode()
 
     async def _register(self) -> None:
         key = DAEMONS_PREFIX + self._name
-        value = msgspec.json.encode(_DaemonEntry(self._address)).decode()
+        value = self._entry_value()
         try:
             self._entry_version = await self._platform.put(key, value, self._entry_version, PURPOSE)
         except VersionConflictError as error:
@@ -299,3 +341,8 @@
         )
         changes = self._relay_directory.endpoint_watcher.recent_changes(message.endpoints_after)
         return encode_message(RelayNewsReply(own_state, config, changes))
+
+
+def _create_key() -> str:
+    """Return a new key with a random id, since another daemon may create one as well."""
+    return f"{secrets.token_hex(PEER_KEY_ID_BYTES)} {secrets.token_hex(PEER_KEY_BYTES)}\n"
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import secrets
 import time
 from collections.abc import AsyncIterator
 
@@ -113,6 +114,41 @@
         assert all(engine.layers for engine in testbed.engines)
 
 
+class TestPeers:
+    async def test_daemons_that_the_copy_lacks_register_again(self, fleet: Fleet) -> None:
+        copy = fleet.store.copy()
+        for name in ("entry-1", "entry-2"):
+            copy.object_by_key.pop(f"daemons/{name}")
+        fleet.store.rewrite(fleet.store.restore(copy))
+        await fleet.testbed.wait(
+            lambda: {f"daemons/entry-{n}" for n in (1, 2, 3)} <= fleet.store.object_by_key.keys(),
+            "entries of all daemons",
+        )
+        await asyncio.sleep(CONTACT_SECONDS)
+        for daemon in fleet.daemons:
+            assert len(daemon.reachable_peers) == 2
+
+    async def test_peer_key_that_the_copy_lacks_is_stored_again(self, fleet: Fleet) -> None:
+        copy = fleet.store.copy()
+        key = copy.object_by_key.pop("keys/peers")["spec"]
+        fleet.store.rewrite(fleet.store.restore(copy))
+        await fleet.testbed.wait(lambda: "keys/peers" in fleet.store.object_by_key, "peer key")
+        assert fleet.store.object_by_key["keys/peers"]["spec"] == key
+
+    async def test_daemon_that_created_another_key_exchanges_with_the_others(
+        self, fleet: Fleet
+    ) -> None:
+        copy = fleet.store.copy()
+        copy.object_by_key["keys/peers"] = {
+            **copy.object_by_key["keys/peers"],
+            "spec": f"other {secrets.token_hex(32)}\n",
+        }
+        fleet.store.rewrite(fleet.store.restore(copy))
+        started = await fleet.testbed.start_daemon("entry-4", fleet.store.address)
+        fleet.daemons.append(started)
+        await fleet.testbed.wait(lambda: len(started.reachable_peers) == 3, "peers")
+
+
 class TestWatch:
     async def test_changes_below_the_known_revision_are_not_missed(self) -> None:
         """The watch resumes only after the store has passed the revision known from before."""
