Store quarantines again that a restored store has lost

After a restore, a quarantine existed in memory only, since the daemon that had written it took it for saved: daemons that start when no other one is left would have let the part crash engines again. Seen in tests.

Cause: the version of a written record was kept as proof that the record exists. Records are listed again once per era; the reporters of the last crash write what is missing, and after a grace period any daemon does, one after the other. Restored records aren't merged into a running daemon, which knows more.

The two tests of TestRestoredStore failed before, and pass.

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_crash_tracker.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_crash_tracker.py
@@ -17,7 +17,13 @@
 from ragwortpaddled import telemetry
 from ragwortpaddled.coordination._endpoint_client import EndpointClient
 from ragwortpaddled.errors import PlatformError, RefusedError, VersionConflictError
-from ragwortpaddled.protocol import ABSENT_VERSION, CrashReport, EndpointEntry, PlatformClient
+from ragwortpaddled.protocol import (
+    ABSENT_VERSION,
+    CrashReport,
+    EndpointEntry,
+    PlatformClient,
+    era_of,
+)
 from ragwortpaddled.state import (
     RECORD_TTL_SECONDS,
     CrashCause,
@@ -29,6 +35,10 @@
 PURPOSE = "quarantines"
 SYNC_INTERVAL_SECONDS = 0.25
 STORE_RETRY_SECONDS = 1.0
+# After a restore of the store, a daemon that reported the last crash has so long to write a lost
+# quarantine before the others do, one after the other.
+REPORTER_GRACE_SECONDS = 1.0
+SUBSTITUTE_SPREAD_SECONDS = 5.0
 EVIDENCE_POLL_SECONDS = 0.05
 # Daemons end a quarantine one after the other, so that the first request to crash an endpoint again
 # is known to the others before they let one through.
@@ -75,6 +85,8 @@
         self._own_crash_keys: set[str] = set()
         self._active_by_name: dict[str, CrashCause] = {}
         self._saved_by_name: dict[str, _SavedQuarantine] = {}
+        self._loaded_era = 0
+        self._substitutes_at = float("inf")  # monotonic time from which this daemon writes too
 
     def add_change_listener(self, listener: Callable[[], None]) -> None:
         """Call a listener after each change of the records that peers should learn at once."""
@@ -140,7 +152,7 @@
         while True:
             await asyncio.sleep(SYNC_INTERVAL_SECONDS)
             self._update_active()
-            if not await self._save():
+            if not (await self._reload_if_needed() and await self._save()):
                 await asyncio.sleep(STORE_RETRY_SECONDS * self._random.uniform(0.5, 1.0))
 
     def _update_active(self) -> None:
@@ -158,10 +170,44 @@
     async def _load(self) -> bool:
         """Merge the stored quarantines; return whether the store answered."""
         try:
-            stored_list = await self._platform.list_objects(QUARANTINES_PREFIX, PURPOSE)
+            quarantine_by_name = await self._list()
         except PlatformError as error:
             _log_store_failure("load", error)
             return False
+        for quarantine in quarantine_by_name.values():
+            self.merge(quarantine.current_reports())
+        return True
+
+    async def _reload_if_needed(self) -> bool:
+        """List the stored quarantines after a restore of the store; return whether it answered.
+
+        The daemon knows at least as much as the restored records, so it doesn't merge them.
+        """
+        restored = self._loaded_era != self._platform.era
+        substitutes = time.monotonic() >= self._substitutes_at and bool(self._active_by_name)
+        if not restored and not substitutes:
+            return True
+        known_names = self._saved_by_name.keys() | self._active_by_name.keys()
+        try:
+            await self._list()
+        except PlatformError as error:
+            _log_store_failure("reload", error)
+            return False
+        for name in self._saved_by_name.keys() - known_names:
+            del self._saved_by_name[name]
+        if restored:
+            spread_seconds = self._random.uniform(0.0, SUBSTITUTE_SPREAD_SECONDS)
+            self._substitutes_at = time.monotonic() + REPORTER_GRACE_SECONDS + spread_seconds
+            fields = {"era": self._loaded_era, "stored": len(self._saved_by_name)}
+            logger.info("stored quarantines listed after a restore", extra={"fields": fields})
+        return True
+
+    async def _list(self) -> dict[str, _StoredQuarantine]:
+        """List the stored quarantines by name, and note their versions."""
+        stored_list = await self._platform.list_objects(QUARANTINES_PREFIX, PURPOSE)
+        self._loaded_era = era_of(stored_list.revision)
+        self._saved_by_name.clear()
+        quarantine_by_name = {}
         for stored in stored_list.objects:
             try:
                 quarantine = msgspec.json.decode(stored.value, type=_StoredQuarantine)
@@ -172,25 +218,29 @@
             name = stored.key.removeprefix(QUARANTINES_PREFIX)
             keys = tuple(report.key for report in quarantine.crashes)
             self._saved_by_name[name] = _SavedQuarantine(stored.version, keys)
-            self.merge(quarantine.current_reports())
-        return True
+            quarantine_by_name[name] = quarantine
+        return quarantine_by_name
 
     async def _save(self) -> bool:
         """Write new and delete ended quarantines; return whether the store took all of them.
 
         Only the daemons that reported the last crash write: usually the one that sent the request.
+        After a restore, the other daemons write what these have not written again.
         """
+        substitutes = time.monotonic() >= self._substitutes_at
         try:
             for name, cause in self._active_by_name.items():
                 saved = self._saved_by_name.get(name)
                 is_saved = saved is not None and set(saved.crash_keys) >= set(cause.crash_keys)
-                if not is_saved and self._reported_last_crash(cause):
+                if not is_saved and (substitutes or self._reported_last_crash(cause)):
                     await self._write(name, cause, saved.version if saved else ABSENT_VERSION)
             for name in self._saved_by_name.keys() - self._active_by_name.keys():
                 await self._delete(name)
         except PlatformError as error:
             _log_store_failure("save", error)
             return False
+        if substitutes:
+            self._substitutes_at = float("inf")
         return True
 
     def _reported_last_crash(self, cause: CrashCause) -> bool:
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -67,6 +67,9 @@
     def has_quarantine(self, daemon: RelayDaemon, part: str) -> bool:
         return any(c.trait == f"part/{part}" for c in daemon.active_quarantines)
 
+    def is_quarantine_stored(self) -> bool:
+        return any(k.startswith("quarantines/") for k in self.testbed.store.object_by_key)
+
     def all_layers_held(self) -> bool:
         return all(engine.layers for engine in self.testbed.engines)
 
@@ -129,10 +132,7 @@
 
     async def test_quarantine_outlives_a_restart_of_all_daemons(self, fleet: Fleet) -> None:
         await fleet.quarantine(DEADLY_PART)
-        await fleet.testbed.wait(
-            lambda: any(k.startswith("quarantines/") for k in fleet.testbed.store.object_by_key),
-            "quarantine in the store",
-        )
+        await fleet.testbed.wait(fleet.is_quarantine_stored, "quarantine in the store")
         for daemon in fleet.daemons:
             await daemon.shutdown()
         received = fleet.count_received(DEADLY_PART)
@@ -144,6 +144,30 @@
         assert fleet.count_received(DEADLY_PART) == received
 
 
+class TestRestoredStore:
+    async def test_quarantine_that_the_copy_lacks_is_stored_again(self, fleet: Fleet) -> None:
+        store = fleet.testbed.store
+        copy = store.copy()
+        await fleet.quarantine(DEADLY_PART)
+        await fleet.testbed.wait(fleet.is_quarantine_stored, "quarantine in the store")
+        store.rewrite(store.restore(copy))
+        await fleet.testbed.wait(fleet.is_quarantine_stored, "quarantine in the restored store")
+
+    async def test_quarantine_that_departed_daemons_reported_is_stored_again(
+        self, fleet: Fleet
+    ) -> None:
+        testbed = fleet.testbed
+        copy = testbed.store.copy()
+        witness = await testbed.start_daemon("entry-4", testbed.store.address)
+        await fleet.quarantine(DEADLY_PART)
+        await testbed.wait(lambda: fleet.has_quarantine(witness, DEADLY_PART), "quarantine")
+        for daemon in fleet.daemons:
+            await daemon.shutdown()
+        testbed.daemon, fleet.daemons[:] = witness, [witness]
+        testbed.store.rewrite(testbed.store.restore(copy))
+        await testbed.wait(fleet.is_quarantine_stored, "quarantine in the restored store")
+
+
 class TestRequestThatCrashesEngines:
     async def test_repeated_request_stops_reaching_engines(self, fleet: Fleet) -> None:
         """The same request came again and again, at any daemon, and crashed an engine each time."""
