Send nothing to endpoints that only a restored copy lists as ready

An endpoint that was leaving or gone got requests again when the store came back from a copy in which it was ready (two tests; a third shows a daemon that starts after the restore).

Cause: an endpoint's leaving was believed only as long as the store said it. Daemons remember who left, in which start and era, and tell it to the peers for some seconds after a restore.

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_object_watcher.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_object_watcher.py
@@ -47,6 +47,8 @@
     ) -> None:
         self.object_by_key: dict[str, StoredObject] = {}
         self.revision = 0
+        self.era_listed_at = 0.0  # monotonic time of the first list of the store's present era
+        self._first_revision_of_era = 0
         self.initial_list_done = asyncio.Event()
         self.watch_pause_seconds = watch_pause_seconds
         self._platform = platform
@@ -69,6 +71,10 @@
         """Return whether an object's removal is deferred; it may only have expired in an outage."""
         return key in self._deferred_removal_by_key
 
+    def may_be_from_copy(self, version: int) -> bool:
+        """Return whether a version may have been in the copy from which the store was restored."""
+        return version <= self._first_revision_of_era
+
     @property
     def changes_wanted_after(self) -> int:
         """Return the revision after which peers may have changes that this daemon lacks."""
@@ -136,6 +142,9 @@
         self._record_response()
         previous_revision = self.revision
         self.revision = listing.revision
+        if era_of(listing.revision) != era_of(self._first_revision_of_era):
+            self._first_revision_of_era = listing.revision
+            self.era_listed_at = time.monotonic()
         if previous_revision and era_of(listing.revision) != era_of(previous_revision):
             # Endpoints write the entries again that the restored store has lost.
             self._removal_grace_until = time.monotonic() + REMOVAL_GRACE_SECONDS
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_directory.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_directory.py
@@ -1,9 +1,12 @@
 """Tracks the configuration in force and the registered endpoints."""
 
+import asyncio
 import logging
 import random
+import time
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from dataclasses import replace
 
 from ragwortpaddled.coordination._object_watcher import ObjectWatcher
 from ragwortpaddled.errors import ObjectsError
@@ -13,8 +16,17 @@
     PlatformClient,
     RelayConfig,
     StoredObject,
+    era_of,
+    revision_of,
+)
+from ragwortpaddled.state import (
+    HOLD_SECONDS,
+    Departures,
+    EndpointLoads,
+    LinkLoads,
+    RequestLimits,
+    RouteTable,
 )
-from ragwortpaddled.state import EndpointLoads, LinkLoads, RequestLimits, RouteTable
 
 # Bounds of the pause between watches, as shares of the time within which a leaving endpoint must
 # stop receiving new requests: the minimum with few daemons, the maximum with many.
@@ -43,6 +55,7 @@
         self.links = LinkLoads()
         self.request_limits = RequestLimits(random_source)
         self.entry_by_id: dict[str, EndpointEntry] = {}
+        self._departures = Departures()
         self._ids_by_pool: defaultdict[str, set[str]] = defaultdict(set)
         self._dialect = dialect
         self._drain_seconds = drain_seconds
@@ -97,6 +110,27 @@
         key = self._dialect.endpoints_prefix + entry.id
         return self._endpoint_watcher.is_removal_deferred(key)
 
+    def departures(self) -> dict[str, tuple[int, int]]:
+        """Return the endpoints that left before a recent restore of the store, for the peers.
+
+        The values are the incarnation and the store's era at that time.
+        """
+        watcher = self._endpoint_watcher
+        if time.monotonic() - watcher.era_listed_at > HOLD_SECONDS / 2:
+            return {}
+        return self._departures.before_era(era_of(watcher.revision))
+
+    def merge_departures(self, departure_by_id: Mapping[str, tuple[int, int]]) -> None:
+        """Note endpoints that left before a peer's store was restored."""
+        for endpoint_id, (incarnation, era) in departure_by_id.items():
+            if self._departures.has_left_before(endpoint_id, incarnation, era + 1):
+                continue
+            self._departures.record(endpoint_id, incarnation, era)
+            key = self._dialect.endpoints_prefix + endpoint_id
+            stored = self._endpoint_watcher.object_by_key.get(key)
+            if stored is not None:
+                self._on_endpoint_change(key, stored)
+
     def apply_config(self, value: str, version: int = 0) -> bool:
         """Apply a configuration if it is valid and newer; return whether it was applied."""
         try:
@@ -127,6 +161,12 @@
         endpoint_id = key.removeprefix(self._dialect.endpoints_prefix)
         previous = self.entry_by_id.get(endpoint_id)
         entry = self._decode_endpoint(stored) if stored is not None else None
+        if stored is None:
+            if previous is not None:
+                era = era_of(self._endpoint_watcher.revision)
+                self._departures.record(endpoint_id, previous.incarnation, era)
+        elif entry is not None:
+            entry = self._hold_if_departed(entry, stored)
         if entry == previous:
             return
         if previous is not None:
@@ -152,6 +192,27 @@
         logger.info("endpoint entry", extra={"fields": fields})
         self._notify_listeners()
 
+    def _hold_if_departed(self, entry: EndpointEntry, stored: StoredObject) -> EndpointEntry:
+        """Treat an endpoint as leaving if only an older copy of the store lists it as ready."""
+        era = era_of(stored.version)
+        if entry.leaving:
+            self._departures.record(entry.id, entry.incarnation, era)
+            return entry
+        departed = self._departures.has_left_before(entry.id, entry.incarnation, era)
+        if not departed or not self._endpoint_watcher.may_be_from_copy(stored.version):
+            return entry
+        fields = {"endpoint": entry.id, "era": era, "revision": revision_of(stored.version)}
+        logger.info("endpoint that left is listed by a restored store", extra={"fields": fields})
+        asyncio.get_running_loop().call_later(HOLD_SECONDS, self._end_hold, stored)
+        return replace(entry, leaving=True)
+
+    def _end_hold(self, held: StoredObject) -> None:
+        """Use an endpoint that the store still lists after the hold."""
+        if self._endpoint_watcher.object_by_key.get(held.key) != held:
+            return
+        self._departures.discard(held.key.removeprefix(self._dialect.endpoints_prefix))
+        self._on_endpoint_change(held.key, held)
+
     def _decode_endpoint(self, stored: StoredObject) -> EndpointEntry | None:
         try:
             return self._dialect.decode_endpoint(stored)
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_peers.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_peers.py
@@ -302,6 +302,7 @@
             holds_lease=message.places_layers, fencing_token=message.fencing_token
         )
         self._crash_tracker.merge(message.crashes)
+        self._relay_directory.merge_departures(message.departures)
 
     def _own_state(self, *, with_crashes: bool) -> RelayNews:
         crash_records = self._crash_tracker.records
@@ -322,6 +323,7 @@
             crash_records.reports() if with_crashes else [],
             self._relay_directory.request_limits.reports(),
             self._layer_placer.highest_fencing_token,
+            self._relay_directory.departures(),
         )
 
     async def _handle_message(self, body: bytes) -> bytes:
--- a/packages/ragwortpaddled/src/ragwortpaddled/protocol/_peers.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/_peers.py
@@ -99,6 +99,8 @@
     # Milliseconds since the last answer and requests a second, None after the end of a limit.
     request_limits: dict[str, tuple[int, float | None]] = {}
     fencing_token: int = 0  # the highest that the daemon knows of
+    # Incarnation and store era of endpoints that left before a recent restore of the store.
+    departures: dict[str, tuple[int, int]] = {}
 
 
 class RelayNewsReply(msgspec.Struct, frozen=True, tag="relay_news_reply"):
--- a/packages/ragwortpaddled/src/ragwortpaddled/state/__init__.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/__init__.py
@@ -9,6 +9,7 @@
 )
 from ragwortpaddled.state._crash_record import RECORD_TTL_SECONDS
 from ragwortpaddled.state._crash_records import CrashRecords
+from ragwortpaddled.state._departures import HOLD_SECONDS, Departures
 from ragwortpaddled.state._endpoint_loads import EndpointLoad, EndpointLoads
 from ragwortpaddled.state._endpoints import Circuit, CircuitState, Endpoint, EndpointTable
 from ragwortpaddled.state._event_splitter import EventSplitter
@@ -84,6 +85,7 @@
 __all__ = [
     "EVIDENCE_DELAY_SECONDS",
     "HISTORY_PREFIX",
+    "HOLD_SECONDS",
     "MAX_HEAD_BYTES",
     "MAX_KEY_BYTES",
     "MAX_RECORDED_BODY_BYTES",
@@ -98,6 +100,7 @@
     "Crash",
     "CrashCause",
     "CrashRecords",
+    "Departures",
     "Endpoint",
     "EndpointLoad",
     "EndpointLoads",
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -48,6 +48,12 @@
         ]
         return [head.status for head in heads]
 
+    async def ask_repeatedly(self, path: bytes, seconds: float) -> None:
+        """Ask all daemons in turn, whatever they answer."""
+        deadline = time.monotonic() + seconds
+        while time.monotonic() < deadline:
+            await self.statuses(path)
+
     async def wait_for_statuses(self, path: bytes, status: int, seconds: float) -> list[int]:
         """Ask until all daemons answer a status or the time is over; return the last ones."""
         deadline = time.monotonic() + seconds
@@ -78,6 +84,56 @@
         assert statuses == [200] * 3
 
 
+class TestLeavingEndpoints:
+    async def test_endpoint_that_the_copy_lists_as_ready_gets_no_requests(
+        self, fleet: Fleet
+    ) -> None:
+        copy = fleet.store.copy()
+        leaving = fleet.testbed.desks[0]
+        leaving.register("draining")
+        await asyncio.sleep(0.5)
+        fleet.store.restore(copy)
+        await fleet.ask_repeatedly(b"/look/1", seconds=2.0)
+        assert leaving.received_requests == []
+
+    async def test_removed_endpoint_that_the_copy_lists_gets_no_requests(
+        self, fleet: Fleet
+    ) -> None:
+        copy = fleet.store.copy()
+        removed = fleet.testbed.desks[0]
+        removed.remove()
+        await asyncio.sleep(0.5)
+        fleet.store.restore(copy)
+        await fleet.ask_repeatedly(b"/look/1", seconds=2.0)
+        assert removed.received_requests == []
+
+    async def test_daemon_that_starts_after_the_restore_learns_it_from_peers(
+        self, fleet: Fleet
+    ) -> None:
+        copy = fleet.store.copy()
+        leaving, removed = fleet.testbed.desks
+        leaving.register("draining")
+        removed.remove()
+        await asyncio.sleep(0.5)
+        fleet.store.restore(copy)
+        fleet.daemons.append(await fleet.testbed.start_daemon("entry-4", fleet.store.address))
+        await fleet.testbed.wait(lambda: len(fleet.daemons[-1].reachable_peers) == 3, "peers")
+        received = len(leaving.received_requests), len(removed.received_requests)
+        await fleet.ask_repeatedly(b"/look/1", seconds=1.0)
+        assert (len(leaving.received_requests), len(removed.received_requests)) == received
+
+    async def test_endpoint_that_writes_its_entry_again_is_used(self, fleet: Fleet) -> None:
+        copy = fleet.store.copy()
+        returned = fleet.testbed.desks[0]
+        returned.remove()
+        await asyncio.sleep(0.5)
+        fleet.store.restore(copy)
+        await asyncio.sleep(0.5)
+        returned.register()
+        await fleet.ask_repeatedly(b"/look/1", seconds=1.0)
+        assert returned.received_requests
+
+
 class TestPlacement:
     async def test_layers_stay_where_they_are_when_the_copy_has_an_older_plan(
         self, fleet: Fleet
