Check whose refusal an endpoint sends before believing it

Reported by operators of similar systems: an earlier refusal, sent once more, was taken for the answer. It could happen here: the refusal was read before the id of the attempt, so a request that ran was answered 503 ('not run'), and an unsafe one was sent to a second endpoint. Operations use connections of their own, which keeps a refusal of an earlier exchange away from them; the test sends one on the first exchange.

The id is checked first; a refusal of another attempt leaves it open whether this one has run (502, no second run). The three tests of TestRefusalOfAnotherAttempt failed before, and pass.

The other two reports can't happen here, as tests show that pass on the code before: an error after a broken stream resets the caller's connection (TestErrorAfterBrokenStream, three kinds of error), and a response that ends within its head, cut at every byte, is lost for both HTTP clients (TestTruncatedHead).

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_endpoint_client.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_endpoint_client.py
@@ -149,6 +149,9 @@
         except ReplyLostError as error:
             raise ResponseLostError(endpoint_id, str(error)) from error
         response_metadata = self._dialect.parse_response_headers(head.status, head.headers)
+        if response_metadata.attempt_id and response_metadata.attempt_id != metadata.attempt_id:
+            # Not even a refusal of another attempt says whether this one has run.
+            raise MaybeRunError(endpoint_id, "response carries the id of another attempt")
         if response_metadata.running is not None:
             self._loads.record_reported_load(endpoint_id, response_metadata.running)
         self._request_limits.record_answer(endpoint_id, response_metadata.requests_per_second)
@@ -163,8 +166,6 @@
             raise error_type(
                 failed_id or endpoint_id, f"endpoint refused with status {head.status}"
             )
-        if response_metadata.attempt_id and response_metadata.attempt_id != metadata.attempt_id:
-            raise MaybeRunError(endpoint_id, "response carries the id of another attempt")
         if head.status < 300 and not response_metadata.sealed:
             raise MaybeRunError(endpoint_id, "response is not signed by the endpoint")
         if head.header(b"content-encoding") is not None:
--- a/packages/standins/src/ragwortpaddle_standins/relay_platform.py
+++ b/packages/standins/src/ragwortpaddle_standins/relay_platform.py
@@ -26,6 +26,7 @@
 API_KEY = b"key-of-bench"
 LAYERS = 8
 EVENT_COUNT = 8
+ERROR_STATUS_BY_FAULT = {"error": 500, "refusal": 503, "missing": 404}
 
 
 def event(number: int) -> bytes:
@@ -417,8 +418,8 @@
     """A plain service that answers with its id.
 
     Faults: ``full`` (503 without running), ``answer lost`` (runs, then resets the connection),
-    ``error`` (runs and answers 500), ``hang`` (runs and never answers) and ``crossed`` (answers
-    with the id of another attempt).
+    ``error`` (runs and answers 500), ``hang`` (runs and never answers), ``crossed`` (answers with
+    the id of another attempt) and ``crossed refusal`` (runs, and refuses another attempt).
     """
 
     async def _handle(self, request: ServerRequest, responder: Responder) -> None:
@@ -434,8 +435,11 @@
         if self.fault == "hang":
             await asyncio.Event().wait()
         headers = self._response_headers(request)
-        if self.fault == "crossed":
+        if self.fault.startswith("crossed"):
             headers[0] = (b"X-Attempt-Id", b"another")
+        if self.fault == "crossed refusal":
+            await responder.send(503, [*headers, (b"X-Not-Executed", b"1")], b"")
+            return
         await responder.send(200, headers, b"answer of " + self.id.encode())
 
 
@@ -445,7 +449,8 @@
     Faults: ``torn`` (resets the connection within an event) and ``dark`` (every path
     through this engine stalls, then its connection is reset). With ``unframed``, ``unframed torn``
     and ``unframed empty``, a stream has neither a length nor chunks and ends with its connection:
-    when complete, within an event, or before the first one. A request with a prompt part in
+    when complete, within an event, or before the first one. ``error``, ``refusal`` and ``missing``
+    answer with an error status. A request with a prompt part in
     ``deadly_parts`` crashes the engine when it begins to run; the engine restarts without layers.
     """
 
@@ -558,6 +563,12 @@
             self.crash()
             raise ConnectionResetError("injected fault: the request crashes the engine")
         first_event = int(request.header(b"last-event-id") or b"0") + 1
+        if self.fault in ERROR_STATUS_BY_FAULT:
+            headers = self._response_headers(request)
+            if self.fault == "refusal":
+                headers.append((b"X-Not-Executed", b"1"))
+            await responder.send(ERROR_STATUS_BY_FAULT[self.fault], headers, b"failed")
+            return
         if self.fault.startswith("unframed"):
             await self._stream_unframed(request, responder, first_event)
             return
