Follow releases across a restore of the store, and store the lost one again

A lost release stayed lost, so that a fleet started anew would have gone back to the one before.

Cause: the number of the next release and the position of the watch rested on what the store had lost. Watchers read again when their history is gone and store the release in force if the store has an older one; numbers of a later era start a million higher. The stand-in takes copies, restores them and sends Object-Era.

The two tests of TestRestoredStore in tests/test_releases.py failed before, and pass.

--- a/packages/ragwortpaddle/src/ragwortpaddle/_operator_client.py
+++ b/packages/ragwortpaddle/src/ragwortpaddle/_operator_client.py
@@ -9,7 +9,7 @@
     VersionConflictError,
     WriteOutcomeUnknownError,
 )
-from ragwortpaddled.protocol import PlatformClient, StoredObject
+from ragwortpaddled.protocol import PlatformClient, StoredObject, era_of
 from ragwortpaddled.state import (
     HISTORY_PREFIX,
     OBJECTS_PREFIX,
@@ -30,6 +30,7 @@
 )
 
 CALL_PURPOSE = "operator"
+MAX_RELEASES_PER_ERA = 1_000_000
 
 
 class EditConflictError(RagwortpaddleError):
@@ -116,6 +117,8 @@
         if current is not None:
             previous = decode_release(current.value)
             number, version = previous.number + 1, current.version
+            # The numbers of releases that a restored store has lost are not given out again.
+            number = max(number, era_of(version) * MAX_RELEASES_PER_ERA + 1)
             await self._save_history(previous.number, current.value)
         release = Release(number, publisher, time.time(), objects)
         try:
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_releases.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_releases.py
@@ -12,17 +12,23 @@
 import msgspec
 
 from ragwortpaddled.coordination._membership import Membership
-from ragwortpaddled.errors import ObjectsError, PlatformError, TransportError
-from ragwortpaddled.protocol import (
-    RELEASE_KEY as RELEASE_GOSSIP_KEY,
+from ragwortpaddled.errors import (
+    HistoryLostError,
+    ObjectsError,
+    PlatformError,
+    TransportError,
 )
 from ragwortpaddled.protocol import (
+    ABSENT_VERSION,
     ActiveRelease,
     FetchRelease,
     PlatformClient,
     ReleaseReply,
     encode_value,
 )
+from ragwortpaddled.protocol import (
+    RELEASE_KEY as RELEASE_GOSSIP_KEY,
+)
 from ragwortpaddled.state import RELEASE_KEY, Release, decode_release, rank_by_rendezvous
 
 WATCHERS_PER_DATA_CENTRE = 2
@@ -33,6 +39,7 @@
 FETCH_TIMEOUT_SECONDS = 2.0
 PURPOSE_WATCH = "release-watch"
 PURPOSE_READ = "release-read"
+PURPOSE_RESTORE = "release-restore"  # of a release that a restored store has lost
 
 logger = logging.getLogger(__name__)
 
@@ -47,6 +54,7 @@
         self.adopted_at = 0.0
         self._release_text = ""
         self._stored_version = 0
+        self._read_needed = True
         self._membership = membership
         self._platform = platform
         self._random_source = random_source
@@ -91,23 +99,32 @@
         retry_delay_seconds = RETRY_MIN_SECONDS
         while True:
             try:
-                if self.current is None:
+                if self.current is None or self._read_needed:
                     await self._read()
                 if self._is_watcher():
                     await self._watch()
                 else:
                     await self._wait_as_non_watcher()
                 retry_delay_seconds = RETRY_MIN_SECONDS
+            except HistoryLostError as error:
+                logger.info("reading the release again: %s", error)
+                self._read_needed = True
             except (PlatformError, ObjectsError) as error:
                 logger.debug("release not read from the platform: %s", error)
                 await asyncio.sleep(retry_delay_seconds * self._random_source.uniform(0.5, 1.5))
                 retry_delay_seconds = min(retry_delay_seconds * 2, RETRY_MAX_SECONDS)
 
     async def _read(self) -> None:
-        stored = await self._platform.get(RELEASE_KEY, PURPOSE_READ)
-        if stored is not None:
-            self._stored_version = stored.version
+        listing = await self._platform.list_objects(RELEASE_KEY, PURPOSE_READ)
+        self._stored_version = listing.revision
+        self._read_needed = False
+        version, number = ABSENT_VERSION, 0
+        for stored in listing.objects:
             self.adopt(stored.value)
+            version, number = stored.version, decode_release(stored.value).number
+        if number < self.number:
+            await self._platform.put(RELEASE_KEY, self._release_text, version, PURPOSE_RESTORE)
+            logger.warning("release %d stored again, the store had release %d", self.number, number)
 
     def _is_watcher(self) -> bool:
         ranked = rank_by_rendezvous(self._membership.live_names(), PURPOSE_WATCH)
--- a/packages/ragwortpaddled/src/ragwortpaddled/protocol/_platform.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/_platform.py
@@ -204,6 +204,7 @@
         self.calls_by_purpose: dict[str, int] = {}
         self.last_response_at = time.monotonic()
         self.era = 0  # of the store; it increases when the store is restored from a copy
+        self.era_known = False
         self._http = http
         self._url = url
         self._timeout_seconds = timeout_seconds
@@ -373,13 +374,12 @@
         return self.era if era is None else era
 
     def _record_era(self, reply: HttpReply) -> None:
-        era = self._dialect.decode_era(reply)
-        if era is None or era <= self.era:
-            return
-        if self.era:
+        era = self._era_of_reply(reply)
+        if self.era_known and era > self.era:
             fields = {"era": era, "previous_era": self.era}
             logger.warning("platform store restored from a copy", extra={"fields": fields})
-        self.era = era
+        self.era = max(self.era, era)
+        self.era_known = True
 
     def _count_call(self, purpose: str) -> None:
         self.calls_by_purpose[purpose] = self.calls_by_purpose.get(purpose, 0) + 1
--- a/packages/standins/src/ragwortpaddle_standins/platform.py
+++ b/packages/standins/src/ragwortpaddle_standins/platform.py
@@ -3,7 +3,9 @@
 Objects carry versions; a conditional write names the version it replaces in ``If-Match`` (0
 creates). A watch waits for a change below a key prefix. ``/calls`` returns the number of calls by
 kind; a watch counts once however long it waits. ``/faults`` injects an outage, a delay, writes
-whose response is lost, and such writes that are applied late.
+whose response is lost, and such writes that are applied late. ``/copy`` copies the objects, and
+``/restore`` takes them and the revision back to the copy and increments the era, which all answers
+carry in ``Object-Era``.
 """
 
 import asyncio
@@ -59,8 +61,10 @@
     """The objects, their watches, the VM list and the injected faults."""
 
     def __init__(self, list_lag_seconds: float) -> None:
+        self.era = 0
         self.revision = 0
         self.object_by_key: dict[str, StoredObject] = {}
+        self.copied: tuple[int, dict[str, StoredObject]] = (0, {})
         self.changed = asyncio.Condition()
         self.faults = Faults()
         self.calls: Counter[str] = Counter()
@@ -95,6 +99,18 @@
             self.changed.notify_all()
         return json_response({"version": self.revision})
 
+    def copy(self) -> None:
+        """Copy the objects, which are replaced as a whole and never changed."""
+        self.copied = (self.revision, dict(self.object_by_key))
+
+    async def restore(self) -> None:
+        """Restore the copy and wake the watches."""
+        self.era += 1
+        self.revision, objects = self.copied
+        self.object_by_key = dict(objects)
+        async with self.changed:
+            self.changed.notify_all()
+
     def list_below(self, prefix: str, after: int = -1) -> list[StoredObject]:
         """Return the objects below a key prefix with a version newer than a revision."""
         return [
@@ -124,8 +140,11 @@
             if store.faults.delay_ms:
                 await asyncio.sleep(store.faults.delay_ms / 1000)
             if store.faults.outage:
-                return json_response({"error": "unavailable"}, 503)
-            return await handler(request)
+                response = json_response({"error": "unavailable"}, 503)
+            else:
+                response = await handler(request)
+            response.add_header(b"Object-Era", str(store.era).encode())
+            return response
 
         return count_and_handle
 
@@ -178,7 +197,11 @@
         wait_seconds = min(int(get_query_value(request, "wait_ms", "0")) / 1000, MAX_WATCH_SECONDS)
         deadline = time.monotonic() + wait_seconds
         async with store.changed:
-            while not store.list_below(prefix, after) and not store.faults.outage:
+            while (
+                after <= store.revision
+                and not store.list_below(prefix, after)
+                and not store.faults.outage
+            ):
                 remaining = deadline - time.monotonic()
                 if remaining <= 0:
                     break
@@ -188,6 +211,8 @@
                     break
         if store.faults.outage:
             return json_response({"error": "unavailable"}, 503)
+        if after > store.revision:
+            return json_response({"error": "no such history"}, 410)
         return json_response(
             {"revision": store.revision, "objects": store.list_below(prefix, after)}
         )
@@ -205,6 +230,14 @@
             store.changed.notify_all()
         return json_response({})
 
+    async def take_copy(_request: Request) -> Response:
+        store.copy()
+        return json_response({})
+
+    async def restore_copy(_request: Request) -> Response:
+        await store.restore()
+        return json_response({})
+
     async def get_calls(_request: Request) -> Response:
         return json_response(dict(store.calls))
 
@@ -216,6 +249,8 @@
     router.add_get("/vms", count_calls("vms", list_vms))
     router.add_put("/vms", put_vm)
     router.add_post("/faults", set_faults)
+    router.add_post("/copy", take_copy)
+    router.add_post("/restore", restore_copy)
     router.add_get("/calls", get_calls)
     return application
 
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -115,6 +115,29 @@
         assert all("published meanwhile" in t for t in outputs if not t.startswith("release"))
 
 
+class TestRestoredStore:
+    def test_release_after_the_restore_is_in_force(self, fleet: Fleet, tmp_path: Path) -> None:
+        fleet.run_cli("publish")
+        fetch_json(f"{fleet.platform.url}/copy", {})
+        for _ in range(3):
+            fleet.run_cli("publish")
+        lost = latest_release(fleet)
+        wait_until(lambda: release_in_force(fleet, lost), "the release is in force")
+        fetch_json(f"{fleet.platform.url}/restore", {})
+        fleet.run_cli("publish")
+        number = latest_release(fleet)
+        assert number > lost
+        wait_until(lambda: release_in_force(fleet, number), "the release is in force", 5)
+
+    def test_release_in_force_is_stored_again(self, fleet: Fleet) -> None:
+        fetch_json(f"{fleet.platform.url}/copy", {})
+        fleet.run_cli("publish")
+        lost = latest_release(fleet)
+        wait_until(lambda: release_in_force(fleet, lost), "the release is in force")
+        fetch_json(f"{fleet.platform.url}/restore", {})
+        wait_until(lambda: latest_release(fleet) == lost, "the release is stored again", 5)
+
+
 class TestStartDuringStoreOutage:
     def test_new_daemon_adopts_the_release_of_its_peers(
         self, fleet: Fleet, new_installation: Callable[..., Fleet]
