Keep operations from running again after the store has lost their records

A repeated order ran a second time after a restore, once the daemon that had written its record was gone (test). While that daemon lived, its cache hid the loss until the next write to the same shard.

Cause: 'run once' rested on the stored record alone. After a restore a shard writer adds the records it knows to what it loads, each daemon commits its changes of the last two minutes again, and no operation starts for 2 s (503, not run). Daemons that make no call to the store learn of it by gossip. The outcome of an attempt that ran is final, also over an attempt granted meanwhile. Two daemons of one record that both end within those seconds still lose it.

test_daemon_that_committed_the_record_is_gone failed before, and passes; the first test of the class passed before as well, for the reason above, and was then made to write to all shards in between.

--- a/packages/ragwortpaddled/src/ragwortpaddled/_daemon.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/_daemon.py
@@ -183,6 +183,7 @@
         self._start_task(self._endpoint_directory.run_polling())
         self._start_task(self._admission_controller.run())
         self._start_task(self._quarantine_tracker.run())
+        self._start_task(self._ledger.run())
         self._start_task(self._version_reconciler.run())
         self._start_task(self._signal_monitor.run())
         self._start_task(self._reload_keys())
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_ledger.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_ledger.py
@@ -8,8 +8,11 @@
 import asyncio
 import logging
 import time
+from collections.abc import Coroutine
+from typing import Any
 
 from ragwortpaddled.coordination._fleet_view import FleetView
+from ragwortpaddled.coordination._ledger_recovery import LedgerRecovery
 from ragwortpaddled.coordination._shard_writer import (
     LedgerUnavailableError,
     PendingChange,
@@ -20,6 +23,7 @@
     Change,
     ChangeResult,
     ChangesReply,
+    ChangeStatus,
     CommitChanges,
     Completion,
     Intent,
@@ -44,18 +48,39 @@
         self._writer_by_shard: dict[int, ShardWriter] = {}
         self._channel_by_shard: dict[int, _PreferredWriterChannel] = {}
         self._backoff_until_by_address: dict[str, float] = {}
-        self._completion_tasks: set[asyncio.Task[None]] = set()
+        self._completion_tasks: set[asyncio.Task[object]] = set()
+        self._recovery = LedgerRecovery(fleet_view.membership, platform)
+
+    async def run(self) -> None:
+        """Commit changes again that a restored store has lost, until cancelled."""
+        await self._recovery.run(self._recover)
 
     async def record_intent(self, intent: Intent) -> ChangeResult:
         """Record the intent to run an attempt and return the result of this change.
 
+        After a restore of the store no intent is granted until the lost records are back.
+
         :raises LedgerUnavailableError: the intent is not known to be committed; do not run it
         """
-        return await self._commit(intent)
+        era_known, era = self._platform.era_known, self._platform.era
+        if not self._recovery.in_progress:
+            change_result = await self._commit(intent)
+            if not era_known or self._platform.era == era:
+                return change_result
+        raise LedgerUnavailableError("the store was restored, records may still be missing")
+
+    def _recover(self, changes: list[Change]) -> None:
+        for writer in self._writer_by_shard.values():
+            writer.recover()
+        for change in changes:
+            self._run_in_background(self._recommit(change))
 
     def record_completion(self, completion: Completion) -> None:
         """Record the completion of an attempt in the background, retrying until it is committed."""
-        task = asyncio.create_task(self._record_until_committed(completion))
+        self._run_in_background(self._record_until_committed(completion))
+
+    def _run_in_background(self, commit: Coroutine[Any, Any, object]) -> None:
+        task = asyncio.create_task(commit)
         self._completion_tasks.add(task)
         task.add_done_callback(self._completion_tasks.discard)
 
@@ -86,17 +111,30 @@
         for channel in self._channel_by_shard.values():
             await channel.close()
 
-    async def _record_until_committed(self, completion: Completion) -> None:
+    async def _record_until_committed(self, change: Change) -> ChangeResult:
         retry_delay_seconds = COMPLETION_RETRY_MIN_SECONDS
         while True:
             try:
-                await self._commit(completion)
-                return
+                return await self._commit(change)
             except LedgerUnavailableError:
                 await asyncio.sleep(retry_delay_seconds)
                 retry_delay_seconds = min(retry_delay_seconds * 2, COMPLETION_RETRY_MAX_SECONDS)
 
+    async def _recommit(self, change: Change) -> None:
+        """Commit a change again; an attempt that was granted instead ends during the recovery."""
+        while True:
+            change_result = await self._record_until_committed(change)
+            if change_result.verdict is not ChangeStatus.IN_DOUBT or not self._recovery.in_progress:
+                return
+            await asyncio.sleep(COMPLETION_RETRY_MIN_SECONDS)
+
     async def _commit(self, change: Change) -> ChangeResult:
+        change_result = await self._commit_to_shard(change)
+        if change_result.verdict is ChangeStatus.GRANTED:
+            self._recovery.record_committed(change)
+        return change_result
+
+    async def _commit_to_shard(self, change: Change) -> ChangeResult:
         shard = shard_for_key(change.key)
         address_by_name = self._fleet_view.address_by_name()
         own_name = self._fleet_view.membership.own_origin.name
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_shard_writer.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_shard_writer.py
@@ -65,6 +65,9 @@
         self._platform = platform
         self._shard = Shard()
         self._loaded_at = -1.0
+        self._loaded_era = 0
+        self._lost_records: list[OperationRecord] = []
+        self._recovery_due = False
         self._pending_changes: list[PendingChange] = []
         self._change_queued = asyncio.Event()
         self._intent_rate = _ArrivalRate()
@@ -84,6 +87,11 @@
             self._write_task = asyncio.create_task(self._run())
         return await pending.result_future
 
+    def recover(self) -> None:
+        """Write the known records again that a restored store has lost, in the background."""
+        self._recovery_due = True
+        self._change_queued.set()
+
     async def close(self) -> None:
         """Cancel the write task."""
         if self._write_task is not None:
@@ -96,7 +104,8 @@
             self._change_queued.clear()
             await self._wait_for_batch()
             batch, self._pending_changes = self._pending_changes, []
-            if batch:
+            if batch or self._recovery_due:
+                self._recovery_due = False
                 await self._commit(batch)
 
     async def _wait_for_batch(self) -> None:
@@ -141,8 +150,10 @@
         await self._load_if_needed()
         for _ in range(MAX_WRITE_ATTEMPTS):
             draft = self._shard.draft(time.time())
+            draft.recover(self._lost_records)
             change_results = [draft.apply(change) for change in changes]
             if not draft.changed:
+                self._lost_records = []
                 if await self._valid_without_write(change_results):
                     return change_results
                 continue
@@ -199,12 +210,13 @@
             stored_head = await self._load()
             return stored_head.write_id == head.write_id
         telemetry.operation_writes.add(1, {"result": "won"})
+        self._lost_records = []
         self._shard.load_head(head, version)
         self._loaded_at = time.monotonic()
         return True
 
     async def _load_if_needed(self) -> None:
-        if self._loaded_at < 0:
+        if self._loaded_at < 0 or self._loaded_era != self._platform.era:
             await self._load()
 
     async def _load(self) -> ShardHead:
@@ -213,10 +225,13 @@
         if stored_object is None:
             stored_object = StoredObject("", 0, msgspec.json.encode(ShardHead("", [], [])).decode())
         head = msgspec.json.decode(stored_object.value, type=ShardHead)
+        if self._loaded_at >= 0 and self._loaded_era != self._platform.era:
+            self._lost_records = [*self._lost_records, *self._shard.all_records(time.time())]
         for segment in head.segments:
             if segment.key not in self._shard.sealed_by_segment:
                 self._shard.sealed_by_segment[segment.key] = await self._load_segment(segment.key)
         self._shard.load_head(head, stored_object.version)
+        self._loaded_era = self._platform.era
         self._loaded_at = time.monotonic()
         return head
 
--- a/packages/ragwortpaddled/src/ragwortpaddled/protocol/_published.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/_published.py
@@ -6,6 +6,7 @@
 
 STATE_KEY = "state"
 RELEASE_KEY = "release"
+STORE_ERA_KEY = "store-era"
 DEMAND_KEY = "demand"
 VMS_KEY = "vms"
 LOAD_PREFIX = "load/"
@@ -28,6 +29,12 @@
     number: int
 
 
+class StoreEra(msgspec.Struct, frozen=True, array_like=True):
+    """The era of the platform's store that a daemon has seen."""
+
+    number: int
+
+
 class TeamPoolDemand(msgspec.Struct, frozen=True, array_like=True):
     """The demand of one team on one pool: running and waiting requests, rates per second."""
 
@@ -119,6 +126,7 @@
 PublishedValue = (
     MemberState
     | ActiveRelease
+    | StoreEra
     | Demand
     | PublishedLoad
     | VmListing
--- a/packages/ragwortpaddled/src/ragwortpaddled/state/_operations.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/_operations.py
@@ -25,6 +25,12 @@
 UUID7_LENGTH = 36
 UUID7_VERSION_INDEX = 14
 
+_WEIGHT_BY_STATE = {
+    OperationState.NOT_RUN: 0,
+    OperationState.INTENT: 1,
+    OperationState.DONE: 2,
+}
+
 
 def operation_key(team: str, route: str, idempotency_key: str) -> str:
     """Return the record key for an idempotency key of a team on a route."""
@@ -79,12 +85,22 @@
     sealed_by_key: Mapping[str, OperationRecord],
     completion: Completion,
 ) -> ChangeResult:
-    """Record the outcome of an attempt, unless its key belongs to another attempt."""
+    """Record the outcome of an attempt, unless its key belongs to another attempt.
+
+    An attempt that has run always counts: the store may have lost its record in a restore and
+    granted another one.
+    """
     record = record_by_key.get(completion.key) or sealed_by_key.get(completion.key)
-    if record is not None and record.attempt != completion.attempt:
-        return ChangeResult(ChangeStatus.STALE, record)
-    if record is not None and record.state is not OperationState.INTENT:
-        return ChangeResult(ChangeStatus.FINISHED, record)
+    if record is not None:
+        same_attempt = record.attempt == completion.attempt
+        if record.state is OperationState.DONE or (
+            same_attempt and record.state is OperationState.NOT_RUN
+        ):
+            return ChangeResult(
+                ChangeStatus.FINISHED if same_attempt else ChangeStatus.STALE, record
+            )
+        if not same_attempt and completion.outcome is None:
+            return ChangeResult(ChangeStatus.STALE, record)
     state = OperationState.NOT_RUN if completion.outcome is None else OperationState.DONE
     record_by_key[completion.key] = OperationRecord(
         completion.key,
@@ -98,6 +114,18 @@
     return ChangeResult(ChangeStatus.GRANTED)
 
 
+def supersedes(record: OperationRecord, other: OperationRecord) -> bool:
+    """Return whether a record replaces another one of the same key, if either may be older.
+
+    An outcome is final. Between attempts, one that may have run weighs more than one that has not.
+    """
+    if record.attempt == other.attempt:
+        return other.state is OperationState.INTENT and record.state is not OperationState.INTENT
+    weight = _WEIGHT_BY_STATE[record.state]
+    other_weight = _WEIGHT_BY_STATE[other.state]
+    return (weight, record.at) > (other_weight, other.at)
+
+
 def parse_key_timestamp(idempotency_key: str) -> float | None:
     """Return the timestamp of a UUID version 7 in Unix seconds, or None for any other key."""
     text = idempotency_key.lower()
--- a/packages/ragwortpaddled/src/ragwortpaddled/state/_shard.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/_shard.py
@@ -6,6 +6,7 @@
 
 import secrets
 from collections import ChainMap
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from functools import singledispatchmethod
 
@@ -19,7 +20,7 @@
     Intent,
     OperationRecord,
 )
-from ragwortpaddled.state._operations import apply_completion, apply_intent
+from ragwortpaddled.state._operations import apply_completion, apply_intent, supersedes
 
 MAX_HEAD_BYTES = 256 * 1024
 MAX_SEGMENTS = 256
@@ -69,6 +70,11 @@
         """Return the record of a key, from the head or from a segment, or None."""
         return self.record_by_key.get(key) or self.sealed.get(key)
 
+    def all_records(self, now: float) -> list[OperationRecord]:
+        """Return the latest record of each key, without expired ones."""
+        latest_by_key = {**self.sealed, **self.record_by_key}
+        return [record for record in latest_by_key.values() if record.expires_at > now]
+
     def draft(self, now: float) -> "ShardDraft":
         """Return a mutable copy without expired records and segments."""
         records = {
@@ -114,6 +120,14 @@
     def _(self, change: Completion) -> ChangeResult:
         return apply_completion(self.record_by_key, self.sealed, change)
 
+    def recover(self, records: Iterable[OperationRecord]) -> None:
+        """Add records that a restored store may have lost; set ``changed`` if it had."""
+        for record in records:
+            stored = self.record_by_key.get(record.key) or self.sealed.get(record.key)
+            if stored is None or supersedes(record, stored):
+                self.record_by_key[record.key] = record
+                self.changed = True
+
     @property
     def full(self) -> bool:
         """Return whether the shard has reached its maximum number of segments."""
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -38,6 +38,10 @@
     return send_request(daemon, ORDERS, b'{"part":"resistor"}', idempotency_key=key)
 
 
+def wait_for_outcome(daemon: Process, key: str) -> None:
+    wait_until(lambda: send_order(daemon, key).status == 200, "the outcome is returned")
+
+
 def new_key() -> str:
     return str(uuid.uuid4())
 
@@ -95,6 +99,46 @@
             assert execution_count(fleet, key) == 1
 
 
+class TestRestoredStore:
+    def test_operation_whose_record_was_lost_is_not_run_again(self, fleet: Fleet) -> None:
+        fetch_json(f"{fleet.platform.url}/copy", {})
+        keys = [new_key() for _ in range(6)]
+        for number, key in enumerate(keys):
+            assert send_order(fleet.daemons[number % len(fleet.daemons)], key).status == 200
+        wait_until(lambda: recorded_intent_count(fleet) == 0, "the outcomes are recorded")
+        fetch_json(f"{fleet.platform.url}/restore", {})
+        for daemon in fleet.daemons:
+            for key in (keys[0], *(new_key() for _ in range(20))):
+                send_order(daemon, key)
+            assert execution_count(fleet, keys[0]) == 1
+        for key in keys:
+            for daemon in fleet.daemons:
+                wait_for_outcome(daemon, key)
+            assert execution_count(fleet, key) == 1
+
+    def test_daemon_that_committed_the_record_is_gone(
+        self, new_installation: Callable[..., Fleet]
+    ) -> None:
+        """Each record was known to the daemon of the caller and to the one that wrote it."""
+        fleet = new_installation()
+        fetch_json(f"{fleet.platform.url}/copy", {})
+        keys = [new_key() for _ in range(8)]
+        for key in keys:
+            assert send_order(fleet.daemons[0], key).status == 200
+        wait_until(lambda: recorded_intent_count(fleet) == 0, "the outcomes are recorded")
+        fleet.daemons[1].kill()
+        fetch_json(f"{fleet.platform.url}/restore", {})
+        survivors = (fleet.daemons[2], fleet.daemons[0])
+        for key in keys:
+            for daemon in survivors:
+                send_order(daemon, key)
+            assert execution_count(fleet, key) == 1
+        for key in keys:
+            for daemon in survivors:
+                wait_for_outcome(daemon, key)
+            assert execution_count(fleet, key) == 1
+
+
 class TestLostServiceReplies:
     @pytest.mark.parametrize(("fault", "executed"), [("drop_before", 0), ("drop_after", 1)])
     def test_outcome_is_unknown_and_operation_is_not_run_again(
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -26,6 +26,7 @@
     GossipEntry,
     Intent,
     LoadReport,
+    OperationRecord,
     OperationState,
     Origin,
     Outcome,
@@ -210,6 +211,23 @@
         assert draft.apply(self.INTENT).verdict is ChangeStatus.STALE
         assert draft.apply(Intent("k", "a2", "body", 0.0, 1e12)).verdict is ChangeStatus.GRANTED
 
+    def test_outcome_of_an_attempt_whose_record_was_lost_is_final(self) -> None:
+        draft = Shard().draft(0)
+        draft.apply(Intent("k", "a2", "body", 0.0, 1e12))
+        draft.apply(self.completion("a1", Outcome(200, "", "ok")))
+        draft.apply(self.completion("a2", None))
+        assert draft.record_by_key["k"].attempt == "a1"
+        assert draft.record_by_key["k"].state is OperationState.DONE
+
+    def test_recovered_record_replaces_an_older_one_only(self) -> None:
+        draft = Shard().draft(0)
+        draft.apply(self.INTENT)
+        done = OperationRecord("k", "a1", OperationState.DONE, "body", 1.0, 1e12)
+        draft.recover([done])
+        draft.recover([OperationRecord("k", "a1", OperationState.INTENT, "body", 0.0, 1e12)])
+        draft.recover([OperationRecord("k", "a0", OperationState.NOT_RUN, "body", 2.0, 1e12)])
+        assert draft.record_by_key["k"] == done
+
     def test_sealed_records_still_block_other_attempts(self) -> None:
         shard = Shard()
         draft = shard.draft(0)
