Forget the departure of an endpoint that has come back

Found while reading the change: an endpoint that had been removed, as after an outage, and was back before the store was restored counted as having left, and got no requests for up to 10 s after the restore. Its departure is forgotten when it is used again.

test_endpoint_that_had_come_back_before_the_restore_is_used failed before (with a stand-in whose watches end at a restore, as they now do), and passes.

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_directory.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_directory.py
@@ -200,6 +200,7 @@
             return entry
         departed = self._departures.has_left_before(entry.id, entry.incarnation, era)
         if not departed or not self._endpoint_watcher.may_be_from_copy(stored.version):
+            self._departures.discard(entry.id)
             return entry
         fields = {"endpoint": entry.id, "era": era, "revision": revision_of(stored.version)}
         logger.info("endpoint that left is listed by a restored store", extra={"fields": fields})
--- a/packages/standins/src/ragwortpaddle_standins/relay_platform.py
+++ b/packages/standins/src/ragwortpaddle_standins/relay_platform.py
@@ -150,9 +150,10 @@
 class Store(_ListeningServer):
     """The metadata store: objects by kind and name, one store revision, and watches.
 
-    Faults: ``unavailable`` answers every call with 503, ``write_responses_to_lose`` is the number
-    of writes, counted down, that are applied and whose response is lost. ``restore`` replaces the
-    content by a copy taken before, which takes the revision back and starts a new era.
+    Faults: ``unavailable`` answers every call with 503, ``resetting`` resets the connection of
+    every call, ``write_responses_to_lose`` is the number of writes, counted down, that are applied
+    and whose response is lost. ``restore`` replaces the content by a copy taken before, which takes
+    the revision back and starts a new era.
     """
 
     def __init__(self) -> None:
@@ -161,6 +162,7 @@
         self.object_by_key: dict[str, dict] = {}
         self.calls: Counter[str] = Counter()
         self.unavailable = False
+        self.resetting = False
         self.write_responses_to_lose = 0
         self.oldest_retained_revision = 0
         self._changes: list[tuple[int, str, bool]] = []
@@ -239,6 +241,8 @@
         path_parts = url.path.removeprefix("/api/objects/").split("/")
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         self.calls[request.method.decode()] += 1
+        if self.resetting:
+            raise ConnectionResetError("injected fault: the store is away")
         if self.unavailable:
             await responder.send(503, self._era_headers(), b"")
             return
@@ -291,12 +295,15 @@
         return 201, self.object_by_key[f"{kind}/{name}"]
 
     async def _watch(self, kind: str, after_revision: int, wait_ms: int) -> tuple[int, object]:
+        era = self.era
         try:
             async with asyncio.timeout(wait_ms / 1000):
                 while self._has_history_since(after_revision) and not (
                     events := self._list_events(kind, after_revision)
                 ):
                     await self._changed.wait()
+                    if self.era != era:
+                        raise ConnectionResetError("the store was restored during the watch")
         except TimeoutError:
             events = []
         if not self._has_history_since(after_revision):
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -112,6 +112,22 @@
         await fleet.ask_repeatedly(b"/look/1", seconds=2.0)
         assert removed.received_requests == []
 
+    async def test_endpoint_that_had_come_back_before_the_restore_is_used(
+        self, fleet: Fleet
+    ) -> None:
+        returned = fleet.testbed.desks[0]
+        returned.remove()
+        await asyncio.sleep(0.5)
+        returned.register()
+        await asyncio.sleep(0.5)
+        copy = fleet.store.copy()
+        fleet.publish_repeatedly(2, 1)
+        await asyncio.sleep(0.5)
+        fleet.store.restore(copy)
+        await fleet.testbed.wait(fleet.has_listed_restored_entries, "lists of the restored store")
+        await fleet.ask_repeatedly(b"/look/1", seconds=1.0)
+        assert returned.received_requests
+
     async def test_daemon_that_starts_after_the_restore_learns_it_from_peers(
         self, fleet: Fleet
     ) -> None:
@@ -224,30 +240,64 @@
         await fleet.testbed.wait(lambda: len(started.reachable_peers) == 3, "peers")
 
 
-class TestWatch:
-    async def test_changes_below_the_known_revision_are_not_missed(self) -> None:
-        """The watch resumes only after the store has passed the revision known from before."""
-        store = Store()
-        await store.start()
-        copy = store.copy()
-        for number in range(5):
-            store.put("servers", "early", number)
-        http = Http1Client()
-        platform = PlatformClient(http, f"http://{store.address}", 1.0, PlatformStoreDialect())
-        keys: set[str] = set()
+class WatchedStore:
+    """A store, and a watcher of its endpoints' entries."""
+
+    def __init__(self) -> None:
+        self.store = Store()
+        self.keys: set[str] = set()
+        self._http = Http1Client()
+
+    async def __aenter__(self) -> "WatchedStore":
+        await self.store.start()
+        url = f"http://{self.store.address}"
+        platform = PlatformClient(self._http, url, 1.0, PlatformStoreDialect())
         watcher = ObjectWatcher(
-            platform, "servers/", lambda key, _: keys.add(key), random.Random(1)
+            platform, "servers/", lambda key, _: self.keys.add(key), random.Random(1)
         )
-        task = asyncio.create_task(watcher.run())
+        self._task = asyncio.create_task(watcher.run())
         await asyncio.wait_for(watcher.initial_list_done.wait(), TIMEOUT_SECONDS)
-        store.restore(copy)
-        store.put("servers", "added", 1)
-        for number in range(9):
-            store.put("servers", "early", number)
-        deadline = time.monotonic() + TIMEOUT_SECONDS
-        while "servers/added" not in keys and time.monotonic() < deadline:
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self._task.cancel()
+        self._http.close()
+        self.store.stop()
+
+    async def wait_for_key(self, key: str, seconds: float) -> None:
+        """Wait until the watcher knows an object."""
+        deadline = time.monotonic() + seconds
+        while key not in self.keys:
+            assert time.monotonic() < deadline, f"{key} is not known after {seconds} s"
             await asyncio.sleep(0.02)
-        task.cancel()
-        http.close()
-        store.stop()
-        assert "servers/added" in keys
+
+
+class TestWatch:
+    async def test_changes_below_the_known_revision_are_not_missed(self) -> None:
+        """The watch resumes only after the store has passed the revision known from before."""
+        async with WatchedStore() as watched:
+            copy = watched.store.copy()
+            for number in range(5):
+                watched.store.put("servers", "early", number)
+            await watched.wait_for_key("servers/early", TIMEOUT_SECONDS)
+            watched.store.restore(copy)
+            watched.store.put("servers", "added", 1)
+            for number in range(9):
+                watched.store.put("servers", "early", number)
+            await watched.wait_for_key("servers/added", TIMEOUT_SECONDS)
+
+    async def test_changes_are_not_missed_if_none_follows(self) -> None:
+        """The resumed watch has nothing to wait for, and an answer alone shows the new era."""
+        async with WatchedStore() as watched:
+            copy = watched.store.copy()
+            for number in range(5):
+                watched.store.put("servers", "early", number)
+            await watched.wait_for_key("servers/early", TIMEOUT_SECONDS)
+            watched.store.resetting = True
+            watched.store.restore(copy)
+            watched.store.put("servers", "added", 1)
+            for number in range(9):
+                watched.store.put("config", "other", number)
+            await asyncio.sleep(0.3)
+            watched.store.resetting = False
+            await watched.wait_for_key("servers/added", APPLY_SECONDS)
