Ask for an immediate answer after a failed call of a watch

After a failure, a watcher's next watch doesn't wait, so that the answer shows the era. test_changes_are_not_missed_if_none_follows failed before, and passes.

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_object_watcher.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_object_watcher.py
@@ -118,8 +118,10 @@
                 if list_needed:
                     self._apply_list(await self._platform.list_objects(self._prefix, "follow-list"))
                     list_needed = False
+                # After a failure, an immediate answer shows whether the store has been restored.
+                wait_seconds = WATCH_TIMEOUT_SECONDS if self.connected else 0.0
                 changes = await self._platform.watch(
-                    self._prefix, self.revision, WATCH_TIMEOUT_SECONDS, "follow-watch"
+                    self._prefix, self.revision, wait_seconds, "follow-watch"
                 )
                 self._record_response()
                 self._apply_changes(changes)
