--- a/tests/test_faulty_answers.py
+++ b/tests/test_faulty_answers.py
@@ -60,6 +60,20 @@
         assert b"failed" not in body
 
 
+class _ClosingProtocol(asyncio.Protocol):
+    """Answers the first bytes of a connection with given bytes and closes it."""
+
+    def __init__(self, data: bytes) -> None:
+        self._data = data
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        self._transport.write(self._data)
+        self._transport.close()
+
+
 class ClosingServer:
     """Sends bytes to every caller and closes the connection."""
 
@@ -68,18 +82,16 @@
         self._data = data
 
     async def __aenter__(self) -> "ClosingServer":
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: _ClosingProtocol(self._data), "127.0.0.1", 0
+        )
         self.address = "{}:{}".format(*self._server.sockets[0].getsockname()[:2])
         return self
 
     async def __aexit__(self, *_: object) -> None:
         self._server.close()
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        await reader.readuntil(b"\r\n\r\n")
-        writer.write(self._data)
-        await writer.drain()
-        writer.close()
+        await self._server.wait_closed()
 
 
 class TestTruncatedHead:
