Share set-up between tests, and decode a stored release once

Found while reading the change again: five fixtures started and stopped a test bed or a fleet by hand, two lease tests and two watch tests repeated their opening, a release that was read was decoded by adopt and once more for its number, and LedgerRecovery spelled out the union that Change names.

A release that is in force or was just adopted is not decoded again.

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_ledger_recovery.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_ledger_recovery.py
@@ -15,8 +15,6 @@
 from ragwortpaddled.protocol import (
     STORE_ERA_KEY,
     Change,
-    Completion,
-    Intent,
     PlatformClient,
     StoreEra,
     encode_value,
@@ -53,7 +51,7 @@
         while len(self._recent_by_key) > MAX_RECENT_CHANGES:
             self._recent_by_key.popitem(last=False)
 
-    async def run(self, recover: Callable[[list[Intent | Completion]], None]) -> None:
+    async def run(self, recover: Callable[[list[Change]], None]) -> None:
         """Call ``recover`` with the recent changes after each restore, until cancelled."""
         while True:
             era = self._highest_era()
@@ -76,6 +74,6 @@
                 eras.append(msgspec.msgpack.decode(value, type=StoreEra).number)
         return max(eras, default=None)
 
-    def _recent_changes(self) -> list[Intent | Completion]:
+    def _recent_changes(self) -> list[Change]:
         horizon = time.monotonic() - RECENT_CHANGE_SECONDS
         return [change for at, change in self._recent_by_key.values() if at > horizon]
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_releases.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_releases.py
@@ -120,7 +120,8 @@
         self._read_needed = False
         version, number = ABSENT_VERSION, 0
         for stored in listing.objects:
-            self.adopt(stored.value)
+            if self.adopt(stored.value) or stored.value == self._release_text:
+                return
             version, number = stored.version, decode_release(stored.value).number
         if number < self.number:
             await self._platform.put(RELEASE_KEY, self._release_text, version, PURPOSE_RESTORE)
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
+from typing import Self
 
 from adapter import PlatformDialect, PlatformStoreDialect
 from ragwortpaddle_standins.relay_platform import (
@@ -34,6 +35,13 @@
         self.daemon: RelayDaemon | None = None
         self.pool = Http1Pool()
 
+    async def __aenter__(self) -> Self:
+        await self.start()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.stop()
+
     async def start(self) -> None:
         """Start all processes and wait until every engine holds layers."""
         await self.store.start()
@@ -129,6 +137,13 @@
         self.testbed = testbed
         self.daemons: list[RelayDaemon] = []
 
+    async def __aenter__(self) -> Self:
+        await self.start()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.stop()
+
     async def start(self) -> None:
         """Start the test bed and the daemons, and wait until they exchange state."""
         await self.testbed.start()
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -85,12 +85,10 @@
 
 @pytest.fixture
 async def fleet(tmp_path) -> AsyncIterator[Fleet]:
-    fleet = Fleet(RelayTestBed(tmp_path))
-    await fleet.start()
-    for engine in fleet.testbed.engines:
-        engine.deadly_parts = frozenset({DEADLY_PART})
-    yield fleet
-    await fleet.stop()
+    async with Fleet(RelayTestBed(tmp_path)) as fleet:
+        for engine in fleet.testbed.engines:
+            engine.deadly_parts = frozenset({DEADLY_PART})
+        yield fleet
 
 
 class TestPromptPartThatCrashesEngines:
--- a/tests/test_endpoint_request_limits.py
+++ b/tests/test_endpoint_request_limits.py
@@ -47,10 +47,8 @@
 
 @pytest.fixture
 async def fleet(tmp_path) -> AsyncIterator[Fleet]:
-    fleet = Fleet(RelayTestBed(tmp_path))
-    await fleet.start()
-    yield fleet
-    await fleet.stop()
+    async with Fleet(RelayTestBed(tmp_path)) as fleet:
+        yield fleet
 
 
 class TestLimitOfAnEndpoint:
--- a/tests/test_faulty_answers.py
+++ b/tests/test_faulty_answers.py
@@ -18,10 +18,8 @@
 
 @pytest.fixture
 async def testbed(tmp_path) -> AsyncIterator[RelayTestBed]:
-    testbed = RelayTestBed(tmp_path)
-    await testbed.start()
-    yield testbed
-    await testbed.stop()
+    async with RelayTestBed(tmp_path) as testbed:
+        yield testbed
 
 
 class TestRefusalOfAnotherAttempt:
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -126,14 +126,23 @@
         assert lease.remaining_seconds() == 0
 
 
+async def replace_holder(
+    store: SingleObjectStore, clock: list[float]
+) -> tuple[StoredObject, Lease]:
+    """Let a second holder acquire the lease of a first; return the first's lease and the second."""
+    first, second = lease_of(store, "a"), lease_of(store, "b")
+    await first.acquire_or_renew()
+    copy = store.stored
+    await second.acquire_or_renew()
+    clock[0] += DURATION_SECONDS + 0.1
+    assert await second.acquire_or_renew()
+    return copy, second
+
+
 class TestRestoredStore:
     async def test_token_exceeds_those_that_the_store_has_lost(self, store, clock) -> None:
-        first, second, third = (lease_of(store, name) for name in "abc")
-        await first.acquire_or_renew()
-        copy = store.stored
-        await second.acquire_or_renew()
-        clock[0] += DURATION_SECONDS + 0.1
-        assert await second.acquire_or_renew()
+        copy, second = await replace_holder(store, clock)
+        third = lease_of(store, "c")
         store.restore(copy)
         assert not await third.acquire_or_renew()
         clock[0] += DURATION_SECONDS + 0.1
@@ -180,12 +189,7 @@
         assert lease.remaining_seconds() > DURATION_SECONDS / 2
 
     async def test_holder_that_the_store_has_lost_gives_up(self, store, clock) -> None:
-        first, second = lease_of(store, "a"), lease_of(store, "b")
-        await first.acquire_or_renew()
-        copy = store.stored
-        await second.acquire_or_renew()
-        clock[0] += DURATION_SECONDS + 0.1
-        assert await second.acquire_or_renew()
+        copy, second = await replace_holder(store, clock)
         store.restore(copy)
         await second.acquire_or_renew()
         assert store.stored.value == copy.value
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -24,10 +24,8 @@
 
 @pytest.fixture
 async def testbed(tmp_path) -> AsyncIterator[RelayTestBed]:
-    testbed = RelayTestBed(tmp_path)
-    await testbed.start()
-    yield testbed
-    await testbed.stop()
+    async with RelayTestBed(tmp_path) as testbed:
+        yield testbed
 
 
 class TestResponses:
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -8,7 +8,7 @@
 
 import pytest
 from adapter import PlatformStoreDialect
-from ragwortpaddle_standins.relay_platform import EVENT_STREAM, Store, configuration
+from ragwortpaddle_standins.relay_platform import EVENT_STREAM, Store, StoreCopy, configuration
 from ragwortpaddled.coordination import ObjectWatcher
 from ragwortpaddled.protocol import PlatformClient, era_of
 from ragwortpaddled.transport import Http1Client
@@ -71,10 +71,8 @@
 
 @pytest.fixture
 async def fleet(tmp_path) -> AsyncIterator[Fleet]:
-    fleet = Fleet(RelayTestBed(tmp_path))
-    await fleet.start()
-    yield fleet
-    await fleet.stop()
+    async with Fleet(RelayTestBed(tmp_path)) as fleet:
+        yield fleet
 
 
 class TestConfiguration:
@@ -264,6 +262,14 @@
         self._http.close()
         self.store.stop()
 
+    async def copy_before_changes(self) -> StoreCopy:
+        """Return a copy of the store that lacks changes which the watcher then knows."""
+        copy = self.store.copy()
+        for number in range(5):
+            self.store.put("servers", "early", number)
+        await self.wait_for_key("servers/early", TIMEOUT_SECONDS)
+        return copy
+
     async def wait_for_key(self, key: str, seconds: float) -> None:
         """Wait until the watcher knows an object."""
         deadline = time.monotonic() + seconds
@@ -276,10 +282,7 @@
     async def test_changes_below_the_known_revision_are_not_missed(self) -> None:
         """The watch resumes only after the store has passed the revision known from before."""
         async with WatchedStore() as watched:
-            copy = watched.store.copy()
-            for number in range(5):
-                watched.store.put("servers", "early", number)
-            await watched.wait_for_key("servers/early", TIMEOUT_SECONDS)
+            copy = await watched.copy_before_changes()
             watched.store.restore(copy)
             watched.store.put("servers", "added", 1)
             for number in range(9):
@@ -289,10 +292,7 @@
     async def test_changes_are_not_missed_if_none_follows(self) -> None:
         """The resumed watch has nothing to wait for, and an answer alone shows the new era."""
         async with WatchedStore() as watched:
-            copy = watched.store.copy()
-            for number in range(5):
-                watched.store.put("servers", "early", number)
-            await watched.wait_for_key("servers/early", TIMEOUT_SECONDS)
+            copy = await watched.copy_before_changes()
             watched.store.resetting = True
             watched.store.restore(copy)
             watched.store.put("servers", "added", 1)
