Compare the era of a list once, and share the exchange of store reads and writes

Read-through of the restored store. ObjectWatcher compared the era of a list twice, though the revision before it has the era of the first list; the 5 s for which departures are reported had no name; a departure was recorded in a branch of its own; reads and writes of PlatformClient each had the same exchange; LayerPlacer read the fencing token a second time.

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_layer_placer.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_layer_placer.py
@@ -142,7 +142,7 @@
                 if known is not None and known.fencing >= plan.fencing:
                     # No daemon has planned since under a higher token, so a plan that differs is
                     # older: the store was restored from a copy.
-                    await self._restore_plan(pool, known, plan)
+                    await self._restore_plan(pool, known, plan, fencing_token)
                     plan = known
                 plan_by_pool[pool] = plan
         except PlatformError as error:
@@ -162,12 +162,13 @@
         self._fencing_token = fencing_token
         logger.info("placement plans loaded", extra={"fields": {"fencing": self._fencing_token}})
 
-    async def _restore_plan(self, pool: str, known: "_Plan", stored: "_Plan") -> None:
+    async def _restore_plan(
+        self, pool: str, known: "_Plan", stored: "_Plan", fencing_token: int
+    ) -> None:
         """Write the known plan if the stored one is older."""
         known.version = stored.version
         if known.chains == stored.chains:
             return
-        fencing_token = self._lease.fencing_token
         known.version = await _write_plan(
             self._platform, pool, known.chains, stored.version, fencing_token
         )
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_object_watcher.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_object_watcher.py
@@ -144,12 +144,13 @@
         self._record_response()
         previous_revision = self.revision
         self.revision = listing.revision
-        if era_of(listing.revision) != era_of(self._first_revision_of_era):
+        if era_of(listing.revision) != era_of(previous_revision):
+            now = time.monotonic()
             self._first_revision_of_era = listing.revision
-            self.era_listed_at = time.monotonic()
-        if previous_revision and era_of(listing.revision) != era_of(previous_revision):
-            # Endpoints write the entries again that the restored store has lost.
-            self._removal_grace_until = time.monotonic() + REMOVAL_GRACE_SECONDS
+            self.era_listed_at = now
+            if previous_revision:
+                # Endpoints write the entries again that the restored store has lost.
+                self._removal_grace_until = now + REMOVAL_GRACE_SECONDS
         listed = {stored.key for stored in listing.objects}
         for stored in listing.objects:
             self._update(stored)
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_directory.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_directory.py
@@ -34,6 +34,7 @@
 MAX_WATCH_PAUSE_SHARE = 0.5
 # Sum over all daemons. Heartbeats change entries continuously, and each store call is billed.
 MAX_ENDPOINT_WATCHES_PER_SECOND = 45.0
+DEPARTURES_REPORTED_SECONDS = 5.0  # after the first list of a restored store
 
 logger = logging.getLogger(__name__)
 
@@ -116,7 +117,7 @@
         The values are the incarnation and the store's era at that time.
         """
         watcher = self._endpoint_watcher
-        if time.monotonic() - watcher.era_listed_at > HOLD_SECONDS / 2:
+        if time.monotonic() - watcher.era_listed_at > DEPARTURES_REPORTED_SECONDS:
             return {}
         return self._departures.before_era(era_of(watcher.revision))
 
@@ -160,13 +161,10 @@
     def _on_endpoint_change(self, key: str, stored: StoredObject | None) -> None:
         endpoint_id = key.removeprefix(self._dialect.endpoints_prefix)
         previous = self.entry_by_id.get(endpoint_id)
-        entry = self._decode_endpoint(stored) if stored is not None else None
-        if stored is None:
-            if previous is not None:
-                era = era_of(self._endpoint_watcher.revision)
-                self._departures.record(endpoint_id, previous.incarnation, era)
-        elif entry is not None:
-            entry = self._hold_if_departed(entry, stored)
+        entry = self._usable_entry(stored) if stored is not None else None
+        if stored is None and previous is not None:
+            era = era_of(self._endpoint_watcher.revision)
+            self._departures.record(endpoint_id, previous.incarnation, era)
         if entry == previous:
             return
         if previous is not None:
@@ -192,8 +190,12 @@
         logger.info("endpoint entry", extra={"fields": fields})
         self._notify_listeners()
 
+    def _usable_entry(self, stored: StoredObject) -> EndpointEntry | None:
+        """Decode an entry; one that only an older copy of the store lists as ready is leaving."""
+        entry = self._decode_endpoint(stored)
+        return self._hold_if_departed(entry, stored) if entry is not None else None
+
     def _hold_if_departed(self, entry: EndpointEntry, stored: StoredObject) -> EndpointEntry:
-        """Treat an endpoint as leaving if only an older copy of the store lists it as ready."""
         era = era_of(stored.version)
         if entry.leaving:
             self._departures.record(entry.id, entry.incarnation, era)
--- a/packages/ragwortpaddled/src/ragwortpaddled/protocol/_platform.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/_platform.py
@@ -294,22 +294,10 @@
         return _decode(lambda: msgspec.json.decode(reply.body, type=_VmList)).vms
 
     async def _read(self, call: StoreRequest, purpose: str, wait_seconds: float = 0.0) -> HttpReply:
-        self._count_call(purpose)
-        result = "no answer"
         try:
-            with tracer.start_as_current_span(f"platform {purpose}"):
-                reply = await self._http.exchange(
-                    call.method,
-                    self._url + call.path,
-                    headers=[(b"Call-Purpose", purpose.encode()), *trace_headers()],
-                    timeout_seconds=self._timeout_seconds + wait_seconds,
-                )
-            result = str(reply.status)
-            self._record_era(reply)
+            reply = await self._exchange(call, purpose, wait_seconds)
         except (NotSentError, ReplyLostError) as error:
             raise PlatformUnavailableError(str(error)) from error
-        finally:
-            telemetry.platform_calls.add(1, {"purpose": purpose, "result": result})
         if reply.status >= 500 or reply.status == 429:
             raise PlatformUnavailableError(f"{call.path}: HTTP status {reply.status}")
         self.last_response_at = time.monotonic()
@@ -330,29 +318,12 @@
             raise VersionConflictError(key, stored.version if stored else ABSENT_VERSION)
 
     async def _write(self, key: str, call: StoreRequest, expected: int, purpose: str) -> int:
-        self._count_call(purpose)
-        result = "no answer"
         try:
-            with tracer.start_as_current_span(f"platform {purpose}"):
-                reply = await self._http.exchange(
-                    call.method,
-                    self._url + call.path,
-                    body=call.body,
-                    headers=[
-                        *call.headers,
-                        (b"Call-Purpose", purpose.encode()),
-                        *trace_headers(),
-                    ],
-                    timeout_seconds=self._timeout_seconds,
-                )
-            result = str(reply.status)
-            self._record_era(reply)
+            reply = await self._exchange(call, purpose)
         except NotSentError as error:
             raise PlatformUnavailableError(str(error)) from error
         except ReplyLostError as error:
             raise WriteOutcomeUnknownError(str(error)) from error
-        finally:
-            telemetry.platform_calls.add(1, {"purpose": purpose, "result": result})
         era = self._era_of_reply(reply)
         decode_version = partial(self._dialect.decode_version, reply)
         if reply.status in (200, 201):
@@ -369,6 +340,31 @@
             raise PlatformUnavailableError(f"{key}: HTTP status {reply.status}")
         raise WriteOutcomeUnknownError(f"{key}: HTTP status {reply.status}")
 
+    async def _exchange(
+        self, call: StoreRequest, purpose: str, wait_seconds: float = 0.0
+    ) -> HttpReply:
+        """Send a request, count it and note the store's era.
+
+        :raises NotSentError, ReplyLostError: see ``HttpExchange.exchange``
+        """
+        self.calls_by_purpose[purpose] = self.calls_by_purpose.get(purpose, 0) + 1
+        result = "no answer"
+        headers = [*call.headers, (b"Call-Purpose", purpose.encode()), *trace_headers()]
+        try:
+            with tracer.start_as_current_span(f"platform {purpose}"):
+                reply = await self._http.exchange(
+                    call.method,
+                    self._url + call.path,
+                    body=call.body,
+                    headers=headers,
+                    timeout_seconds=self._timeout_seconds + wait_seconds,
+                )
+            result = str(reply.status)
+        finally:
+            telemetry.platform_calls.add(1, {"purpose": purpose, "result": result})
+        self._record_era(reply)
+        return reply
+
     def _era_of_reply(self, reply: HttpReply) -> int:
         era = self._dialect.decode_era(reply)
         return self.era if era is None else era
@@ -381,9 +377,6 @@
         self.era = max(self.era, era)
         self.era_known = True
 
-    def _count_call(self, purpose: str) -> None:
-        self.calls_by_purpose[purpose] = self.calls_by_purpose.get(purpose, 0) + 1
-
 
 def _add_era(stored: StoredObject, era: int) -> StoredObject:
     return StoredObject(stored.key, make_version(era, stored.version), stored.value)
