Start no operation after a restore until every daemon has written its records again

Cause: whether records might be missing was a matter of time. A daemon noticed the restore by a poll, up to 0.25 s after the reply that had shown it, and granted intents meanwhile; the recovery ended after 2 s, while writing the records again can take longer (1.5 s for a preferred writer that does not answer, 0.5 s for a batch); and a preferred writer that knew of the restore granted the intents of daemons that did not. Class: a fixed time taken for the end of other processes' work.

Change: each daemon publishes the era of the store that it knows and the one in which it has written its records again, within its data centre and in the summaries to the others. The writer of a shard grants an intent only if every daemon that is not dead has recovered in the era of the write, before and after it; else it answers from the records it has and withholds the grant. A daemon that starts first asks the daemons of the VM list. Records go as they are (LostRecord), so that one kept by a peer is not judged like a new completion; two attempts of a key that may both have run leave it in doubt until one has an outcome. Lost records are written only once every daemon knows of the era, since a daemon that does not may overwrite them at a revision given out again.

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_fleet_view.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_fleet_view.py
@@ -9,7 +9,8 @@
 import logging
 import random
 import time
-from collections.abc import Iterable, Iterator
+from collections.abc import Coroutine, Iterable, Iterator
+from typing import Any
 
 import msgspec
 
@@ -21,6 +22,7 @@
     DEMAND_KEY,
     QUARANTINE_PREFIX,
     RELEASE_KEY,
+    STORE_ERA_KEY,
     SUMMARY_PREFIX,
     ActiveRelease,
     CrashEvidence,
@@ -28,6 +30,7 @@
     FetchSummary,
     MemberSummary,
     Quarantine,
+    StoreEra,
     Summary,
     SummaryReply,
     TeamPoolDemand,
@@ -39,6 +42,7 @@
 EXCHANGE_INTERVAL_SECONDS = 1.0
 EXCHANGE_TIMEOUT_SECONDS = 1.0
 SUMMARY_STALE_AFTER_SECONDS = 8.0
+MAX_JOIN_ATTEMPTS = 3  # for each other data centre
 
 logger = logging.getLogger(__name__)
 
@@ -59,11 +63,13 @@
         self, membership: Membership, release_tracker: ReleaseTracker, random_source: random.Random
     ) -> None:
         self.membership = membership
+        self.joined = False  # whether the first VM list is known and its daemons have been asked
         self._release_tracker = release_tracker
         self._random_source = random_source
         self._remote_vms: list[Vm] = []
         self._received_at_by_data_centre: dict[str, float] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._join_started = False
+        self._tasks: set[asyncio.Task[object]] = set()
         self._remote_summaries: dict[str, Summary] | None = None
         self._address_by_name: dict[str, str] | None = None
         self._demand_of_others: list[TeamPoolDemand] | None = None
@@ -81,6 +87,9 @@
         self.membership.set_seed_addresses(
             {vm.peer_address for vm in entry_vms if vm.data_centre == self._own_data_centre}
         )
+        if not self._join_started:
+            self._join_started = True
+            self._start_in_background(self._join())
 
     async def run(self) -> None:
         """Exchange summaries with other data centres until cancelled."""
@@ -109,7 +118,8 @@
             state = table.state_by_name[name]
             value = state.value(RELEASE_KEY)
             number = msgspec.msgpack.decode(value, type=ActiveRelease).number if value else 0
-            members.append(MemberSummary(name, state.origin.peer_address, number))
+            store_era = _decode_store_era(state.value(STORE_ERA_KEY))
+            members.append(MemberSummary(name, state.origin.peer_address, number, store_era))
         demand = total_demand(line for _, lines in self.local_demands() for line in lines)
         return Summary(
             members, demand, list(self._local_quarantines()), list(self._local_crash_evidence())
@@ -175,6 +185,19 @@
         summaries = [self.own_summary(), *self.remote_summaries().values()]
         return {m.name: m.release for summary in summaries for m in summary.members}
 
+    def eras_of_others(self) -> Iterator[StoreEra]:
+        """Yield what other daemons know of the store's era, of those not known to be dead."""
+        for name in self.membership.names_not_dead():
+            store_era = _decode_store_era(
+                self.membership.table.state_by_name[name].value(STORE_ERA_KEY)
+            )
+            if store_era is not None:
+                yield store_era
+        for summary in self.remote_summaries().values():
+            for member in summary.members:
+                if member.store_era is not None:
+                    yield member.store_era
+
     def quarantines(self) -> list[Quarantine]:
         """Return the quarantines published in any data centre."""
         collected = list(self._local_quarantines())
@@ -223,10 +246,29 @@
         return sorted(data_centres)
 
     def _start_exchange(self, data_centre: str) -> None:
-        task = asyncio.create_task(self._exchange_summaries(data_centre))
+        addresses = self._peer_addresses_in(data_centre)
+        if addresses:
+            address = self._random_source.choice(addresses)
+            self._start_in_background(self._exchange_summaries(data_centre, address))
+
+    def _start_in_background(self, coroutine: Coroutine[Any, Any, object]) -> None:
+        task = asyncio.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    async def _join(self) -> None:
+        """Learn what all listed daemons have published, except those that do not answer."""
+        data_centres = self._other_data_centres()
+        await asyncio.gather(
+            self.membership.join(), *(self._join_data_centre(name) for name in data_centres)
+        )
+        self.joined = True
+
+    async def _join_data_centre(self, data_centre: str) -> None:
+        for address in self._peer_addresses_in(data_centre)[:MAX_JOIN_ATTEMPTS]:
+            if await self._exchange_summaries(data_centre, address):
+                return
+
     def _assigned_data_centres(self) -> list[str]:
         live = self.membership.live_names()
         own_name = self.membership.own_origin.name
@@ -236,19 +278,17 @@
             if choose_by_rendezvous(live, SUMMARY_PREFIX + data_centre) == own_name
         ]
 
-    async def _exchange_summaries(self, data_centre: str) -> None:
-        peer_addresses = self._peer_addresses_in(data_centre)
-        if not peer_addresses:
-            return
-        address = self._random_source.choice(peer_addresses)
+    async def _exchange_summaries(self, data_centre: str, address: str) -> bool:
         message = FetchSummary(self._own_data_centre, encode_value(self.own_summary()))
         try:
             reply = await self.membership.links.request(address, message, EXCHANGE_TIMEOUT_SECONDS)
         except TransportError as error:
             logger.debug("no summary of data centre %s from %s: %s", data_centre, address, error)
-            return
-        if isinstance(reply, SummaryReply):
-            self._publish_summary(reply.data_centre, reply.summary)
+            return False
+        if not isinstance(reply, SummaryReply):
+            return False
+        self._publish_summary(reply.data_centre, reply.summary)
+        return True
 
     def _publish_summary(self, data_centre: str, encoded: bytes) -> None:
         summary = msgspec.msgpack.decode(encoded, type=Summary)
@@ -257,11 +297,9 @@
             self.membership.notify_listeners()
         newer_members = [m for m in summary.members if m.release > self._release_tracker.number]
         if newer_members:
-            task = asyncio.create_task(
+            self._start_in_background(
                 self._release_tracker.fetch_from_peer(newer_members[0].peer_address)
             )
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
 
     def _withdraw_stale_summaries(self) -> None:
         stale_before = time.monotonic() - SUMMARY_STALE_AFTER_SECONDS
@@ -269,3 +307,7 @@
             if received_at < stale_before:
                 del self._received_at_by_data_centre[data_centre]
                 self.membership.table.withdraw(SUMMARY_PREFIX + data_centre)
+
+
+def _decode_store_era(value: bytes) -> StoreEra | None:
+    return msgspec.msgpack.decode(value, type=StoreEra) if value else None
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_ledger.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_ledger.py
@@ -8,7 +8,8 @@
 import asyncio
 import logging
 import time
-from collections.abc import Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
+from functools import partial
 from typing import Any
 
 from ragwortpaddled.coordination._fleet_view import FleetView
@@ -27,18 +28,24 @@
     CommitChanges,
     Completion,
     Intent,
+    LostRecord,
+    OperationRecord,
     PlatformClient,
 )
-from ragwortpaddled.state import choose_by_rendezvous, shard_for_key
+from ragwortpaddled.state import choose_by_rendezvous, record_after, shard_for_key
 
 PREFERRED_WRITER_TIMEOUT_SECONDS = 1.5
 PREFERRED_WRITER_BACKOFF_SECONDS = 3.0
-COMPLETION_RETRY_MIN_SECONDS = 0.2
-COMPLETION_RETRY_MAX_SECONDS = 5.0
+COMMIT_RETRY_MIN_SECONDS = 0.2
+COMMIT_RETRY_MAX_SECONDS = 5.0
 
 logger = logging.getLogger(__name__)
 
 
+class RecordsMissingError(LedgerUnavailableError):
+    """Records of a restored store may be missing; the intent was not written."""
+
+
 class Ledger:
     """Commits intents and completions to the operation records."""
 
@@ -49,35 +56,37 @@
         self._channel_by_shard: dict[int, _PreferredWriterChannel] = {}
         self._backoff_until_by_address: dict[str, float] = {}
         self._completion_tasks: set[asyncio.Task[object]] = set()
-        self._recovery = LedgerRecovery(fleet_view.membership, platform)
+        self._recovery = LedgerRecovery(fleet_view, platform)
 
     async def run(self) -> None:
-        """Commit changes again that a restored store has lost, until cancelled."""
-        await self._recovery.run(self._recover)
+        """Write records again that a restored store has lost, until cancelled."""
+        await self._recovery.run(self._write_again)
 
     async def record_intent(self, intent: Intent) -> ChangeResult:
         """Record the intent to run an attempt and return the result of this change.
 
         After a restore of the store no intent is granted until the lost records are back.
 
+        :raises RecordsMissingError: the lost records are not back yet
         :raises LedgerUnavailableError: the intent is not known to be committed; do not run it
         """
-        era_known, era = self._platform.era_known, self._platform.era
-        if not self._recovery.in_progress:
-            change_result = await self._commit(intent)
-            if not era_known or self._platform.era == era:
-                return change_result
-        raise LedgerUnavailableError("the store was restored, records may still be missing")
+        change_result = await self._commit(intent)
+        if change_result.verdict is ChangeStatus.WITHHELD:
+            raise RecordsMissingError("the store was restored, records may still be missing")
+        if change_result.verdict is ChangeStatus.GRANTED and self._recovery.complete_era is None:
+            raise LedgerUnavailableError("the store was restored, records may still be missing")
+        return change_result
 
-    def _recover(self, changes: list[Change]) -> None:
-        for writer in self._writer_by_shard.values():
-            writer.recover()
-        for change in changes:
-            self._run_in_background(self._recommit(change))
+    async def _write_again(self, era: int, records: list[OperationRecord]) -> None:
+        writers = list(self._writer_by_shard.values())
+        await asyncio.gather(
+            *(_retry_until_committed(partial(writer.recover, era)) for writer in writers),
+            *(_retry_until_committed(partial(self._commit, LostRecord(r))) for r in records),
+        )
 
     def record_completion(self, completion: Completion) -> None:
         """Record the completion of an attempt in the background, retrying until it is committed."""
-        self._run_in_background(self._record_until_committed(completion))
+        self._run_in_background(_retry_until_committed(partial(self._commit, completion)))
 
     def _run_in_background(self, commit: Coroutine[Any, Any, object]) -> None:
         task = asyncio.create_task(commit)
@@ -87,6 +96,7 @@
     async def commit_for_peer(self, commit_request: CommitChanges) -> ChangesReply:
         """Commit changes that a peer forwarded."""
         writer = self._writer_of(commit_request.shard)
+        writer.require_era(commit_request.era)
         results = await asyncio.gather(
             *(writer.submit(change) for change in commit_request.changes), return_exceptions=True
         )
@@ -111,27 +121,17 @@
         for channel in self._channel_by_shard.values():
             await channel.close()
 
-    async def _record_until_committed(self, change: Change) -> ChangeResult:
-        retry_delay_seconds = COMPLETION_RETRY_MIN_SECONDS
-        while True:
-            try:
-                return await self._commit(change)
-            except LedgerUnavailableError:
-                await asyncio.sleep(retry_delay_seconds)
-                retry_delay_seconds = min(retry_delay_seconds * 2, COMPLETION_RETRY_MAX_SECONDS)
-
-    async def _recommit(self, change: Change) -> None:
-        """Commit a change again; an attempt that was granted instead ends during the recovery."""
-        while True:
-            change_result = await self._record_until_committed(change)
-            if change_result.verdict is not ChangeStatus.IN_DOUBT or not self._recovery.in_progress:
-                return
-            await asyncio.sleep(COMPLETION_RETRY_MIN_SECONDS)
-
     async def _commit(self, change: Change) -> ChangeResult:
+        """Commit a change in one era of the store and keep its record.
+
+        :raises LedgerUnavailableError: the change is not known to be committed in this era
+        """
+        era = self._recovery.era
         change_result = await self._commit_to_shard(change)
+        if self._recovery.era != era:
+            raise LedgerUnavailableError("the store was restored during the commit")
         if change_result.verdict is ChangeStatus.GRANTED:
-            self._recovery.record_committed(change)
+            self._recovery.keep(record_after(change))
         return change_result
 
     async def _commit_to_shard(self, change: Change) -> ChangeResult:
@@ -159,12 +159,16 @@
 
     def _writer_of(self, shard: int) -> ShardWriter:
         if shard not in self._writer_by_shard:
-            self._writer_by_shard[shard] = ShardWriter(shard, self._platform)
+            self._writer_by_shard[shard] = ShardWriter(
+                shard, self._platform, lambda: self._recovery.complete_era is not None
+            )
         return self._writer_by_shard[shard]
 
     def _channel_of(self, shard: int) -> "_PreferredWriterChannel":
         if shard not in self._channel_by_shard:
-            self._channel_by_shard[shard] = _PreferredWriterChannel(shard, self._fleet_view)
+            self._channel_by_shard[shard] = _PreferredWriterChannel(
+                shard, self._fleet_view, self._recovery
+            )
         return self._channel_by_shard[shard]
 
 
@@ -173,9 +177,10 @@
 
     MAX_EXCHANGES_IN_FLIGHT = 4
 
-    def __init__(self, shard: int, fleet_view: FleetView) -> None:
+    def __init__(self, shard: int, fleet_view: FleetView, recovery: LedgerRecovery) -> None:
         self._shard = shard
         self._fleet_view = fleet_view
+        self._recovery = recovery
         self._pending_changes: list[PendingChange] = []
         self._exchange_tasks: set[asyncio.Task[None]] = set()
         self._writer_address = ""
@@ -210,7 +215,8 @@
         self._send_next_batch()
 
     async def _exchange(self, batch: list[PendingChange], address: str) -> None:
-        commit_request = CommitChanges(self._shard, [item.change for item in batch])
+        changes = [item.change for item in batch]
+        commit_request = CommitChanges(self._shard, changes, self._recovery.era or 0)
         links = self._fleet_view.membership.links
         try:
             reply = await links.request(address, commit_request, PREFERRED_WRITER_TIMEOUT_SECONDS)
@@ -230,3 +236,15 @@
                 )
             else:
                 item.result_future.set_result(change_result)
+
+
+async def _retry_until_committed(commit: Callable[[], Awaitable[object]]) -> None:
+    retry_delay_seconds = COMMIT_RETRY_MIN_SECONDS
+    while True:
+        try:
+            await commit()
+            return
+        except LedgerUnavailableError as error:
+            logger.debug("not committed, trying again: %s", error)
+            await asyncio.sleep(retry_delay_seconds)
+            retry_delay_seconds = min(retry_delay_seconds * 2, COMMIT_RETRY_MAX_SECONDS)
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_ledger_recovery.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_ledger_recovery.py
@@ -1,79 +1,103 @@
-"""Notices a restore of the store, and lets the lost operation records be written again.
+"""Follows the era of the store, and has lost operation records written again after a restore.
 
-Daemons that make no call to the store learn of the restore by gossip.
+No attempt may start until every live daemon has written again what it knows. Daemons that make no
+call to the store learn of the restore from the others.
 """
 
 import asyncio
 import logging
 import time
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
-import msgspec
-
-from ragwortpaddled.coordination._membership import Membership
+from ragwortpaddled.coordination._fleet_view import FleetView
 from ragwortpaddled.protocol import (
     STORE_ERA_KEY,
-    Change,
+    OperationRecord,
     PlatformClient,
     StoreEra,
     encode_value,
 )
 
 POLL_INTERVAL_SECONDS = 0.25
-# Daemons learn of a restore within a few gossip rounds and commit their recent changes again.
-RECOVERY_SECONDS = 2.0
-RECENT_CHANGE_SECONDS = 120.0  # copies of the store are some seconds old
-MAX_RECENT_CHANGES = 10_000
+RECENT_RECORD_SECONDS = 120.0  # copies of the store are some seconds old
+MAX_RECENT_RECORDS = 10_000
 
 logger = logging.getLogger(__name__)
 
 
 class LedgerRecovery:
-    """The changes that this daemon committed recently, and whether a restore is being handled."""
+    """The operation records that this daemon keeps, and the era in which none is missing."""
 
-    def __init__(self, membership: Membership, platform: PlatformClient) -> None:
-        self._membership = membership
+    def __init__(self, fleet_view: FleetView, platform: PlatformClient) -> None:
+        self._fleet_view = fleet_view
         self._platform = platform
-        self._known_era: int | None = None
-        self._recovering_until = 0.0
-        self._recent_by_key: OrderedDict[str, tuple[float, Change]] = OrderedDict()
+        self._era_of_others: int | None = None
+        self._recovered_era: int | None = None
+        self._complete_era: int | None = None
+        self._recent_by_key: OrderedDict[str, tuple[float, OperationRecord]] = OrderedDict()
+
+    @property
+    def era(self) -> int | None:
+        """Return the latest era of the store known to this daemon, None before the first reply."""
+        own_era = self._platform.era if self._platform.era_known else None
+        return max((era for era in (own_era, self._era_of_others) if era is not None), default=None)
 
     @property
-    def in_progress(self) -> bool:
-        """Return whether records that the store has lost may still be missing."""
-        return time.monotonic() < self._recovering_until
+    def complete_era(self) -> int | None:
+        """Return the store's era if no record from before it is missing, None if one may be."""
+        era = self.era
+        if era is None or era == self._complete_era:
+            return era
+        if self._recovered_era is None:
+            self._set_recovered(era)  # a daemon that has just started keeps no records
+        if self._recovered_era != era or not self._fleet_view.joined:
+            return None
+        if any(store_era.recovered < era for store_era in self._fleet_view.eras_of_others()):
+            return None
+        self._complete_era = era
+        logger.info("operation records are complete in era %d of the store", era)
+        return era
 
-    def record_committed(self, change: Change) -> None:
-        """Keep a committed change; a completion replaces the intent of its attempt."""
-        self._recent_by_key[change.key] = (time.monotonic(), change)
-        self._recent_by_key.move_to_end(change.key)
-        while len(self._recent_by_key) > MAX_RECENT_CHANGES:
+    def keep(self, record: OperationRecord) -> None:
+        """Keep a committed record for a time; it replaces the former one of its key."""
+        self._recent_by_key[record.key] = (time.monotonic(), record)
+        self._recent_by_key.move_to_end(record.key)
+        while len(self._recent_by_key) > MAX_RECENT_RECORDS:
             self._recent_by_key.popitem(last=False)
 
-    async def run(self, recover: Callable[[list[Change]], None]) -> None:
-        """Call ``recover`` with the recent changes after each restore, until cancelled."""
+    async def run(
+        self, write_again: Callable[[int, list[OperationRecord]], Awaitable[None]]
+    ) -> None:
+        """Call ``write_again`` with the era and the recent records after each restore."""
         while True:
-            era = self._highest_era()
-            if era is not None and era != self._known_era:
-                restored = self._known_era is not None
-                self._known_era = era
-                self._membership.table.publish(STORE_ERA_KEY, encode_value(StoreEra(era)))
-                if restored:
-                    self._recovering_until = time.monotonic() + RECOVERY_SECONDS
-                    changes = self._recent_changes()
-                    logger.warning("store restored, era %d: %d changes", era, len(changes))
-                    recover(changes)
+            others = list(self._fleet_view.eras_of_others())
+            self._era_of_others = max((other.known for other in others), default=None)
+            era = self.era
+            if era is not None and self._recovered_era is None:
+                self._set_recovered(era)
+            elif era is not None and self._recovered_era != era:
+                self._publish()
+                # A daemon that does not know of the restore yet may overwrite what is written now.
+                if all(other.known >= era for other in others):
+                    records = self._recent_records()
+                    logger.warning("store restored, era %d: %d records", era, len(records))
+                    await write_again(era, records)
+                    self._set_recovered(era)
             await asyncio.sleep(POLL_INTERVAL_SECONDS)
 
-    def _highest_era(self) -> int | None:
-        eras = [self._platform.era] if self._platform.era_known else []
-        for state in self._membership.table.state_by_name.values():
-            value = state.value(STORE_ERA_KEY)
-            if value:
-                eras.append(msgspec.msgpack.decode(value, type=StoreEra).number)
-        return max(eras, default=None)
+    def _set_recovered(self, era: int) -> None:
+        self._recovered_era = era
+        self._publish()
+
+    def _publish(self) -> None:
+        era, recovered_era = self.era, self._recovered_era
+        if era is None or recovered_era is None:
+            return
+        store_era = StoreEra(era, recovered_era)
+        if self._fleet_view.membership.table.publish(STORE_ERA_KEY, encode_value(store_era)):
+            self._fleet_view.gossip_now()
 
-    def _recent_changes(self) -> list[Change]:
-        horizon = time.monotonic() - RECENT_CHANGE_SECONDS
-        return [change for at, change in self._recent_by_key.values() if at > horizon]
+    def _recent_records(self) -> list[OperationRecord]:
+        horizon = time.monotonic() - RECENT_RECORD_SECONDS
+        return [record for at, record in self._recent_by_key.values() if at > horizon]
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_membership.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_membership.py
@@ -105,6 +105,16 @@
             names.append(self.own_origin.name)
         return sorted(names)
 
+    def names_not_dead(self) -> list[str]:
+        """Return the names of the other daemons that may be running, the leaving ones too."""
+        unproven_since = time.monotonic() - self._dead_after_seconds
+        return [
+            name
+            for name, member in self.member_by_name.items()
+            if member.health in (Health.ALIVE, Health.SUSPECT)
+            or (member.health is Health.UNPROVEN and member.last_heartbeat_at > unproven_since)
+        ]
+
     def address_of(self, name: str) -> str | None:
         """Return the peer address of a member, None if it is unknown or dead."""
         member = self.member_by_name.get(name)
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_services.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_services.py
@@ -12,7 +12,7 @@
 from ragwortpaddled import telemetry
 from ragwortpaddled.coordination._circuit_breakers import record_failure, record_success
 from ragwortpaddled.coordination._endpoint_directory import EndpointDirectory
-from ragwortpaddled.coordination._ledger import Ledger
+from ragwortpaddled.coordination._ledger import Ledger, RecordsMissingError
 from ragwortpaddled.coordination._recovery import RetryBudget
 from ragwortpaddled.coordination._shard_writer import LedgerUnavailableError
 from ragwortpaddled.errors import NotSentError, ReplyLostError, TransportError
@@ -161,8 +161,9 @@
         try:
             return await self._ledger.record_intent(intent)
         except LedgerUnavailableError as error:
-            # The intent may still have been written, so the attempt is recorded as not run.
-            self._ledger.record_completion(_not_run_completion(intent))
+            if not isinstance(error, RecordsMissingError):
+                # The intent may still have been written, so the attempt is recorded as not run.
+                self._ledger.record_completion(_not_run_completion(intent))
             raise Refusal(
                 503,
                 "store_unavailable",
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_shard_writer.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_shard_writer.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import msgspec
@@ -18,6 +19,7 @@
     Change,
     ChangeResult,
     ChangeStatus,
+    Completion,
     Intent,
     OperationRecord,
     PlatformClient,
@@ -58,16 +60,23 @@
 
 
 class ShardWriter:
-    """Writes one shard with conditional writes, which are safe with several writers at once."""
+    """Writes one shard with conditional writes, which are safe with several writers at once.
 
-    def __init__(self, shard: int, platform: PlatformClient) -> None:
+    Intents are granted only while ``grants_allowed`` returns true.
+    """
+
+    def __init__(
+        self, shard: int, platform: PlatformClient, grants_allowed: Callable[[], bool]
+    ) -> None:
         self._shard_number = shard
         self._platform = platform
+        self._grants_allowed = grants_allowed
         self._shard = Shard()
         self._loaded_at = -1.0
         self._loaded_era = 0
+        self._required_era = 0
         self._lost_records: list[OperationRecord] = []
-        self._recovery_due = False
+        self._write_lock = asyncio.Lock()
         self._pending_changes: list[PendingChange] = []
         self._change_queued = asyncio.Event()
         self._intent_rate = _ArrivalRate()
@@ -87,10 +96,22 @@
             self._write_task = asyncio.create_task(self._run())
         return await pending.result_future
 
-    def recover(self) -> None:
-        """Write the known records again that a restored store has lost, in the background."""
-        self._recovery_due = True
-        self._change_queued.set()
+    def require_era(self, era: int) -> None:
+        """Base later results on a shard of this era of the store or of a later one."""
+        self._required_era = max(self._required_era, era)
+
+    async def recover(self, era: int) -> None:
+        """Write the known records again that the store has lost when its era began.
+
+        :raises LedgerUnavailableError: they are not known to be written
+        """
+        self.require_era(era)
+        try:
+            async with self._write_lock:
+                if self._loaded_at >= 0:
+                    await self._write([])
+        except PlatformError as error:
+            raise LedgerUnavailableError(str(error)) from error
 
     async def close(self) -> None:
         """Cancel the write task."""
@@ -104,8 +125,7 @@
             self._change_queued.clear()
             await self._wait_for_batch()
             batch, self._pending_changes = self._pending_changes, []
-            if batch or self._recovery_due:
-                self._recovery_due = False
+            if batch:
                 await self._commit(batch)
 
     async def _wait_for_batch(self) -> None:
@@ -113,9 +133,11 @@
         wait_started_at = time.monotonic()
         while True:
             waited_seconds = time.monotonic() - wait_started_at
-            has_intent = any(isinstance(item.change, Intent) for item in self._pending_changes)
+            completions_alone = all(
+                isinstance(item.change, Completion) for item in self._pending_changes
+            )
             delay_seconds = COMPLETION_BATCH_DELAY_SECONDS
-            if has_intent:
+            if not completions_alone:
                 delay_seconds = self._intent_rate.batch_delay_seconds(time.monotonic())
             if (
                 waited_seconds >= delay_seconds
@@ -131,7 +153,8 @@
 
     async def _commit(self, batch: list[PendingChange]) -> None:
         try:
-            change_results = await self._write([item.change for item in batch])
+            async with self._write_lock:
+                change_results = await self._write([item.change for item in batch])
         except PlatformError as error:
             unavailable_error = LedgerUnavailableError(str(error))
             for item in batch:
@@ -149,9 +172,10 @@
         """
         await self._load_if_needed()
         for _ in range(MAX_WRITE_ATTEMPTS):
+            era = self._platform.era
             draft = self._shard.draft(time.time())
             draft.recover(self._lost_records)
-            change_results = [draft.apply(change) for change in changes]
+            change_results = self._apply(draft, changes)
             if not draft.changed:
                 self._lost_records = []
                 if await self._valid_without_write(change_results):
@@ -159,17 +183,37 @@
                 continue
             head = await self._prepare_head(draft)
             if await self._put(head):
+                if self._platform.era != era:
+                    raise PlatformUnavailableError(
+                        f"shard {self._shard_number}: the store was restored during the write"
+                    )
                 return change_results
         raise PlatformUnavailableError(
             f"shard {self._shard_number}: not committed after {MAX_WRITE_ATTEMPTS} attempts"
         )
 
+    def _apply(self, draft: ShardDraft, changes: list[Change]) -> list[ChangeResult]:
+        grants_allowed = self._grants_allowed()
+        return [
+            (
+                draft.answer_without_grant(change)
+                if isinstance(change, Intent) and not grants_allowed
+                else draft.apply(change)
+            )
+            for change in changes
+        ]
+
     async def _valid_without_write(self, change_results: list[ChangeResult]) -> bool:
         """Return whether results reached without a write can be returned to the caller.
 
         Final verdicts can. Others must come from a recently loaded shard; an older one is reloaded.
         """
-        final_verdicts = (ChangeStatus.FINISHED, ChangeStatus.KEY_REUSED, ChangeStatus.STALE)
+        final_verdicts = (
+            ChangeStatus.FINISHED,
+            ChangeStatus.KEY_REUSED,
+            ChangeStatus.STALE,
+            ChangeStatus.WITHHELD,
+        )
         if all(change_result.verdict in final_verdicts for change_result in change_results):
             return True
         if time.monotonic() - self._loaded_at < MAX_CACHED_SHARD_AGE_SECONDS:
@@ -216,11 +260,19 @@
         return True
 
     async def _load_if_needed(self) -> None:
-        if self._loaded_at < 0 or self._loaded_era != self._platform.era:
+        current_era = max(self._platform.era, self._required_era)
+        if self._loaded_at < 0 or self._loaded_era != current_era:
             await self._load()
+        if self._platform.era < self._required_era:
+            raise PlatformUnavailableError(
+                f"shard {self._shard_number}: read from era {self._platform.era} of the store, "
+                f"era {self._required_era} is known"
+            )
 
     async def _load(self) -> ShardHead:
         """Read the head, and the segments that are not yet cached."""
+        # Taken before the read: if the store is restored meanwhile, the shard is loaded again.
+        era = self._platform.era
         stored_object = await self._platform.get(head_key(self._shard_number), PURPOSE_READ)
         if stored_object is None:
             stored_object = StoredObject("", 0, msgspec.json.encode(ShardHead("", [], [])).decode())
@@ -231,7 +283,7 @@
             if segment.key not in self._shard.sealed_by_segment:
                 self._shard.sealed_by_segment[segment.key] = await self._load_segment(segment.key)
         self._shard.load_head(head, stored_object.version)
-        self._loaded_era = self._platform.era
+        self._loaded_era = era
         self._loaded_at = time.monotonic()
         return head
 
--- a/packages/ragwortpaddled/src/ragwortpaddled/protocol/_operations.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/_operations.py
@@ -21,6 +21,7 @@
     FINISHED = "finished"
     KEY_REUSED = "key_reused"
     STALE = "stale"
+    WITHHELD = "withheld"  # nothing was written, since records of a restored store may be missing
 
 
 class Outcome(msgspec.Struct, frozen=True, array_like=True):
@@ -65,7 +66,18 @@
     outcome: Outcome | None = None
 
 
-Change = Intent | Completion
+class LostRecord(msgspec.Struct, frozen=True, tag="lost_record"):
+    """A request to write a record again that the store may have lost in a restore."""
+
+    record: OperationRecord
+
+    @property
+    def key(self) -> str:
+        """Return the key of the record."""
+        return self.record.key
+
+
+Change = Intent | Completion | LostRecord
 
 
 class ChangeResult(msgspec.Struct, frozen=True):
--- a/packages/ragwortpaddled/src/ragwortpaddled/protocol/_peers.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/_peers.py
@@ -53,10 +53,11 @@
 
 
 class CommitChanges(msgspec.Struct, frozen=True, tag="commit_changes"):
-    """Asks the preferred writer of a shard to commit changes to it."""
+    """Asks the preferred writer of a shard to commit changes to it, in this or a later era."""
 
     shard: int
     changes: list[Change]
+    era: int = 0
 
 
 class ChangesReply(msgspec.Struct, frozen=True, tag="changes_reply"):
--- a/packages/ragwortpaddled/src/ragwortpaddled/protocol/_published.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/_published.py
@@ -30,9 +30,13 @@
 
 
 class StoreEra(msgspec.Struct, frozen=True, array_like=True):
-    """The era of the platform's store that a daemon has seen."""
+    """The latest era of the platform's store that a daemon knows.
 
-    number: int
+    In the era ``recovered`` the daemon has written its operation records again.
+    """
+
+    known: int
+    recovered: int
 
 
 class TeamPoolDemand(msgspec.Struct, frozen=True, array_like=True):
@@ -112,6 +116,7 @@
     name: str
     peer_address: str
     release: int
+    store_era: StoreEra | None = None
 
 
 class Summary(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/ragwortpaddled/src/ragwortpaddled/state/__init__.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/__init__.py
@@ -47,6 +47,7 @@
     MAX_RECORDED_BODY_BYTES,
     operation_key,
     parse_key_timestamp,
+    record_after,
     shard_for_key,
 )
 from ragwortpaddled.state._placement import (
@@ -156,6 +157,7 @@
     "plan_chains",
     "rank_by_rendezvous",
     "read_objects",
+    "record_after",
     "repair_chains",
     "select_pool",
     "shard_for_key",
--- a/packages/ragwortpaddled/src/ragwortpaddled/state/_operations.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/_operations.py
@@ -7,14 +7,18 @@
 
 import hashlib
 from collections.abc import Mapping, MutableMapping
+from functools import singledispatch
 
+import msgspec
 import xxhash
 
 from ragwortpaddled.protocol import (
+    Change,
     ChangeResult,
     ChangeStatus,
     Completion,
     Intent,
+    LostRecord,
     OperationRecord,
     OperationState,
 )
@@ -25,6 +29,10 @@
 UUID7_LENGTH = 36
 UUID7_VERSION_INDEX = 14
 
+# The attempt of a record that stands for several attempts, so that no completion without an outcome
+# matches it.
+SEVERAL_ATTEMPTS = ""
+
 _WEIGHT_BY_STATE = {
     OperationState.NOT_RUN: 0,
     OperationState.INTENT: 1,
@@ -32,6 +40,42 @@
 }
 
 
+@singledispatch
+def record_after(change: Change) -> OperationRecord:
+    """Return the record that a committed change leaves."""
+    raise NotImplementedError(type(change))
+
+
+@record_after.register
+def _(change: Intent) -> OperationRecord:
+    return OperationRecord(
+        change.key,
+        change.attempt,
+        OperationState.INTENT,
+        change.body_digest,
+        change.at,
+        change.expires_at,
+    )
+
+
+@record_after.register
+def _(change: Completion) -> OperationRecord:
+    return OperationRecord(
+        change.key,
+        change.attempt,
+        OperationState.NOT_RUN if change.outcome is None else OperationState.DONE,
+        change.body_digest,
+        change.at,
+        change.expires_at,
+        change.outcome,
+    )
+
+
+@record_after.register
+def _(change: LostRecord) -> OperationRecord:
+    return change.record
+
+
 def operation_key(team: str, route: str, idempotency_key: str) -> str:
     """Return the record key for an idempotency key of a team on a route."""
     text = f"{len(team)}:{team}{len(route)}:{route}{idempotency_key}"
@@ -69,14 +113,7 @@
     record = record_by_key.get(intent.key) or sealed_by_key.get(intent.key)
     change_result = evaluate_intent(record, intent)
     if change_result.verdict is ChangeStatus.GRANTED:
-        record_by_key[intent.key] = OperationRecord(
-            intent.key,
-            intent.attempt,
-            OperationState.INTENT,
-            intent.body_digest,
-            intent.at,
-            intent.expires_at,
-        )
+        record_by_key[intent.key] = record_after(intent)
     return change_result
 
 
@@ -101,29 +138,25 @@
             )
         if not same_attempt and completion.outcome is None:
             return ChangeResult(ChangeStatus.STALE, record)
-    state = OperationState.NOT_RUN if completion.outcome is None else OperationState.DONE
-    record_by_key[completion.key] = OperationRecord(
-        completion.key,
-        completion.attempt,
-        state,
-        completion.body_digest,
-        completion.at,
-        completion.expires_at,
-        completion.outcome,
-    )
+    record_by_key[completion.key] = record_after(completion)
     return ChangeResult(ChangeStatus.GRANTED)
 
 
-def supersedes(record: OperationRecord, other: OperationRecord) -> bool:
-    """Return whether a record replaces another one of the same key, if either may be older.
+def merge_lost_record(stored: OperationRecord | None, lost: OperationRecord) -> OperationRecord:
+    """Return the record of a key after a restore, given one from before the restore.
 
-    An outcome is final. Between attempts, one that may have run weighs more than one that has not.
+    An outcome is final, and an attempt that may have run weighs more than one that has not. Two
+    attempts that may both have run leave the key in doubt until one of them has an outcome.
     """
-    if record.attempt == other.attempt:
-        return other.state is OperationState.INTENT and record.state is not OperationState.INTENT
-    weight = _WEIGHT_BY_STATE[record.state]
-    other_weight = _WEIGHT_BY_STATE[other.state]
-    return (weight, record.at) > (other_weight, other.at)
+    if stored is None:
+        return lost
+    if stored.attempt == lost.attempt:
+        return lost if stored.state is OperationState.INTENT else stored
+    weight, stored_weight = _WEIGHT_BY_STATE[lost.state], _WEIGHT_BY_STATE[stored.state]
+    if weight != stored_weight or stored.state is not OperationState.INTENT:
+        return lost if weight > stored_weight else stored
+    expires_at = max(stored.expires_at, lost.expires_at)
+    return msgspec.structs.replace(stored, attempt=SEVERAL_ATTEMPTS, expires_at=expires_at)
 
 
 def parse_key_timestamp(idempotency_key: str) -> float | None:
--- a/packages/ragwortpaddled/src/ragwortpaddled/state/_shard.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/_shard.py
@@ -18,9 +18,15 @@
     ChangeStatus,
     Completion,
     Intent,
+    LostRecord,
     OperationRecord,
 )
-from ragwortpaddled.state._operations import apply_completion, apply_intent, supersedes
+from ragwortpaddled.state._operations import (
+    apply_completion,
+    apply_intent,
+    evaluate_intent,
+    merge_lost_record,
+)
 
 MAX_HEAD_BYTES = 256 * 1024
 MAX_SEGMENTS = 256
@@ -120,13 +126,29 @@
     def _(self, change: Completion) -> ChangeResult:
         return apply_completion(self.record_by_key, self.sealed, change)
 
+    @_apply.register
+    def _(self, change: LostRecord) -> ChangeResult:
+        stored = self._find(change.key)
+        merged = merge_lost_record(stored, change.record)
+        if merged == stored:
+            return ChangeResult(ChangeStatus.FINISHED, stored)
+        self.record_by_key[change.key] = merged
+        return ChangeResult(ChangeStatus.GRANTED, merged)
+
+    def answer_without_grant(self, intent: Intent) -> ChangeResult:
+        """Return the decision on an intent, ``WITHHELD`` if the attempt could run."""
+        change_result = evaluate_intent(self._find(intent.key), intent)
+        if change_result.verdict is ChangeStatus.GRANTED:
+            return ChangeResult(ChangeStatus.WITHHELD, change_result.record)
+        return change_result
+
     def recover(self, records: Iterable[OperationRecord]) -> None:
         """Add records that a restored store may have lost; set ``changed`` if it had."""
         for record in records:
-            stored = self.record_by_key.get(record.key) or self.sealed.get(record.key)
-            if stored is None or supersedes(record, stored):
-                self.record_by_key[record.key] = record
-                self.changed = True
+            self.apply(LostRecord(record))
+
+    def _find(self, key: str) -> OperationRecord | None:
+        return self.record_by_key.get(key) or self.sealed.get(key)
 
     @property
     def full(self) -> bool:
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -1,12 +1,14 @@
 """At-most-once operations under failures of the store, the service and the daemon."""
 
+import itertools
 import threading
+import time
 import uuid
 from collections.abc import Callable, Iterator
 
 import pytest
 from client_helpers import HttpResponse, send_request, stream_chat
-from ragwortpaddle_standins.fleet import Fleet, Process, fetch_json, wait_until
+from ragwortpaddle_standins.fleet import Fleet, Process, fetch_json, returns_ok, wait_until
 
 ORDERS = "/services/orders/new"
 
@@ -46,6 +48,16 @@
     return str(uuid.uuid4())
 
 
+def run_orders_that_the_store_loses(fleet: Fleet) -> list[str]:
+    """Run operations through the first daemon after a copy of the store was taken."""
+    fetch_json(f"{fleet.platform.url}/copy", {})
+    keys = [new_key() for _ in range(8)]
+    for key in keys:
+        assert send_order(fleet.daemons[0], key).status == 200
+    wait_until(lambda: recorded_intent_count(fleet) == 0, "the outcomes are recorded")
+    return keys
+
+
 def run_in_background(
     send: Callable[[], HttpResponse],
 ) -> tuple[threading.Thread, list[HttpResponse]]:
@@ -121,11 +133,7 @@
     ) -> None:
         """Each record was known to the daemon of the caller and to the one that wrote it."""
         fleet = new_installation()
-        fetch_json(f"{fleet.platform.url}/copy", {})
-        keys = [new_key() for _ in range(8)]
-        for key in keys:
-            assert send_order(fleet.daemons[0], key).status == 200
-        wait_until(lambda: recorded_intent_count(fleet) == 0, "the outcomes are recorded")
+        keys = run_orders_that_the_store_loses(fleet)
         fleet.daemons[1].kill()
         fetch_json(f"{fleet.platform.url}/restore", {})
         survivors = (fleet.daemons[2], fleet.daemons[0])
@@ -138,6 +146,29 @@
                 wait_for_outcome(daemon, key)
             assert execution_count(fleet, key) == 1
 
+    def test_daemon_that_keeps_the_records_is_paused_during_the_restore(
+        self, new_installation: Callable[..., Fleet]
+    ) -> None:
+        fleet = new_installation()
+        keys = run_orders_that_the_store_loses(fleet)
+        holder, writer, other = fleet.daemons
+        writer.kill()
+        holder.suspend()
+        fetch_json(f"{fleet.platform.url}/restore", {})
+        started = fleet.start_daemon("entry-4", fleet.data_centres[2])
+        wait_until(lambda: returns_ok(f"{started.url}/readyz"), "the started daemon is ready")
+        # Longer than the fixed time that a recovery once took, shorter than what counts as dead.
+        end_at = time.monotonic() + 2.5
+        for key, daemon in itertools.cycle(itertools.product(keys, (other, started))):
+            send_order(daemon, key)
+            if time.monotonic() > end_at:
+                break
+        holder.resume()
+        for key in keys:
+            for daemon in (started, other, holder):
+                wait_for_outcome(daemon, key)
+            assert execution_count(fleet, key) == 1
+
 
 class TestLostServiceReplies:
     @pytest.mark.parametrize(("fault", "executed"), [("drop_before", 0), ("drop_after", 1)])
