Forget the daemons of a stale summary without waiting for another change

Seen as a timeout of test_daemon_that_ran_the_operations_and_wrote_their_records_is_gone: after a daemon had ended, another data centre took part in no operation for more than 18 s. A stale summary was withdrawn, but the cached views of the fleet were cleared only by the next change of another entry, so its daemons stayed preferred writers and were waited for. The withdrawal now counts as a change. TestSummaries failed before (entry-2 still listed).

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_fleet_view.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_fleet_view.py
@@ -307,6 +307,7 @@
             if received_at < stale_before:
                 del self._received_at_by_data_centre[data_centre]
                 self.membership.table.withdraw(SUMMARY_PREFIX + data_centre)
+                self.membership.notify_listeners()
 
 
 def _decode_store_era(value: bytes) -> StoreEra | None:
