Keep the outcome of an operation when a later attempt is recorded as not run

A request whose intent may have been written while the store was restored is recorded as not run; that record replaced the outcome of the earlier attempt among the records that the daemon keeps, so the outcome was not written again. Kept records are now merged by the rule for lost ones (an outcome is final, what may have run weighs more): merge_records.

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_ledger_recovery.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_ledger_recovery.py
@@ -18,6 +18,7 @@
     StoreEra,
     encode_value,
 )
+from ragwortpaddled.state import merge_records
 
 POLL_INTERVAL_SECONDS = 0.25
 RECENT_RECORD_SECONDS = 120.0  # copies of the store are some seconds old
@@ -60,8 +61,9 @@
         return era
 
     def keep(self, record: OperationRecord) -> None:
-        """Keep a committed record for a time; it replaces the former one of its key."""
-        self._recent_by_key[record.key] = (time.monotonic(), record)
+        """Keep a committed record for a time, merged with the former one of its key."""
+        _, known = self._recent_by_key.get(record.key, (0.0, None))
+        self._recent_by_key[record.key] = (time.monotonic(), merge_records(known, record))
         self._recent_by_key.move_to_end(record.key)
         while len(self._recent_by_key) > MAX_RECENT_RECORDS:
             self._recent_by_key.popitem(last=False)
--- a/packages/ragwortpaddled/src/ragwortpaddled/state/__init__.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/__init__.py
@@ -45,6 +45,7 @@
 from ragwortpaddled.state._operations import (
     MAX_KEY_BYTES,
     MAX_RECORDED_BODY_BYTES,
+    merge_records,
     operation_key,
     parse_key_timestamp,
     record_after,
@@ -150,6 +151,7 @@
     "history_key",
     "local_share",
     "max_min_shares",
+    "merge_records",
     "new_segment_key",
     "object_key",
     "operation_key",
--- a/packages/ragwortpaddled/src/ragwortpaddled/state/_operations.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/_operations.py
@@ -142,21 +142,21 @@
     return ChangeResult(ChangeStatus.GRANTED)
 
 
-def merge_lost_record(stored: OperationRecord | None, lost: OperationRecord) -> OperationRecord:
-    """Return the record of a key after a restore, given one from before the restore.
+def merge_records(known: OperationRecord | None, other: OperationRecord) -> OperationRecord:
+    """Return the record that two records of a key amount to, if either may be older.
 
     An outcome is final, and an attempt that may have run weighs more than one that has not. Two
     attempts that may both have run leave the key in doubt until one of them has an outcome.
     """
-    if stored is None:
-        return lost
-    if stored.attempt == lost.attempt:
-        return lost if stored.state is OperationState.INTENT else stored
-    weight, stored_weight = _WEIGHT_BY_STATE[lost.state], _WEIGHT_BY_STATE[stored.state]
-    if weight != stored_weight or stored.state is not OperationState.INTENT:
-        return lost if weight > stored_weight else stored
-    expires_at = max(stored.expires_at, lost.expires_at)
-    return msgspec.structs.replace(stored, attempt=SEVERAL_ATTEMPTS, expires_at=expires_at)
+    if known is None:
+        return other
+    if known.attempt == other.attempt:
+        return other if known.state is OperationState.INTENT else known
+    weight, known_weight = _WEIGHT_BY_STATE[other.state], _WEIGHT_BY_STATE[known.state]
+    if weight != known_weight or known.state is not OperationState.INTENT:
+        return other if weight > known_weight else known
+    expires_at = max(known.expires_at, other.expires_at)
+    return msgspec.structs.replace(known, attempt=SEVERAL_ATTEMPTS, expires_at=expires_at)
 
 
 def parse_key_timestamp(idempotency_key: str) -> float | None:
--- a/packages/ragwortpaddled/src/ragwortpaddled/state/_shard.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/_shard.py
@@ -25,7 +25,7 @@
     apply_completion,
     apply_intent,
     evaluate_intent,
-    merge_lost_record,
+    merge_records,
 )
 
 MAX_HEAD_BYTES = 256 * 1024
@@ -129,7 +129,7 @@
     @_apply.register
     def _(self, change: LostRecord) -> ChangeResult:
         stored = self._find(change.key)
-        merged = merge_lost_record(stored, change.record)
+        merged = merge_records(stored, change.record)
         if merged == stored:
             return ChangeResult(ChangeStatus.FINISHED, stored)
         self.record_by_key[change.key] = merged
