Keep each recent operation record at two daemons

With one daemon killed between an operation and a restore, the operation ran again if that daemon had also been the writer of its record, as it is for one key in three of three daemons: test_daemon_that_ran_the_operations_and_wrote_their_records_is_gone failed in 2 of 2 runs, with execution_count 2.

A daemon that wrote a record itself now has another one keep it (KeepRecord) before the attempt starts, and its outcome afterwards; after two peers that don't answer it goes on, with a warning.

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_ledger.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_ledger.py
@@ -3,6 +3,9 @@
 Rendezvous hashing names one preferred writer for each shard, so that the changes of all daemons
 share its writes. A daemon writes the shard itself if the preferred writer returns no result;
 conditional writes keep the records consistent.
+
+Besides the store, two daemons keep each recent record: that of the caller, and the writer or, where
+they are the same, another one. So a record outlasts a restore of the store and the end of a daemon.
 """
 
 import asyncio
@@ -28,14 +31,22 @@
     CommitChanges,
     Completion,
     Intent,
+    KeepRecord,
     LostRecord,
     OperationRecord,
     PlatformClient,
 )
-from ragwortpaddled.state import choose_by_rendezvous, record_after, shard_for_key
+from ragwortpaddled.state import (
+    choose_by_rendezvous,
+    rank_by_rendezvous,
+    record_after,
+    shard_for_key,
+)
 
 PREFERRED_WRITER_TIMEOUT_SECONDS = 1.5
-PREFERRED_WRITER_BACKOFF_SECONDS = 3.0
+PEER_BACKOFF_SECONDS = 3.0
+COPY_TIMEOUT_SECONDS = 1.0
+MAX_COPY_ATTEMPTS = 2
 COMMIT_RETRY_MIN_SECONDS = 0.2
 COMMIT_RETRY_MAX_SECONDS = 5.0
 
@@ -102,6 +113,10 @@
         )
         return ChangesReply([r if isinstance(r, ChangeResult) else None for r in results])
 
+    def keep_for_peer(self, record: OperationRecord) -> None:
+        """Keep a record that a peer has committed, to write it again after a restore."""
+        self._recovery.keep(record)
+
     async def flush(self) -> None:
         """Wait until every completion is recorded."""
         while self._completion_tasks:
@@ -149,10 +164,34 @@
             )
             if change_result is not None:
                 return change_result
-            self._backoff_until_by_address[address_by_name[preferred_writer]] = (
-                time.monotonic() + PREFERRED_WRITER_BACKOFF_SECONDS
-            )
-        return await self._writer_of(shard).submit(change)
+            self._start_backoff(address_by_name[preferred_writer])
+        change_result = await self._writer_of(shard).submit(change)
+        if change_result.verdict is ChangeStatus.GRANTED and not isinstance(change, LostRecord):
+            await self._copy_to_peer(record_after(change))
+        return change_result
+
+    async def _copy_to_peer(self, record: OperationRecord) -> None:
+        """Let another daemon keep a record that only this one knows besides the store."""
+        address_by_name = self._fleet_view.address_by_name()
+        own_name = self._fleet_view.membership.own_origin.name
+        others = [
+            name
+            for name, address in address_by_name.items()
+            if name != own_name and self._backoff_elapsed(address)
+        ]
+        for name in rank_by_rendezvous(others, f"operations/{record.key}")[:MAX_COPY_ATTEMPTS]:
+            address = address_by_name[name]
+            try:
+                await self._fleet_view.membership.links.request(
+                    address, KeepRecord(record), COPY_TIMEOUT_SECONDS
+                )
+                return
+            except TransportError as error:
+                logger.warning("operation record not copied to %s: %s", name, error)
+                self._start_backoff(address)
+
+    def _start_backoff(self, address: str) -> None:
+        self._backoff_until_by_address[address] = time.monotonic() + PEER_BACKOFF_SECONDS
 
     def _backoff_elapsed(self, address: str) -> bool:
         return time.monotonic() >= self._backoff_until_by_address.get(address, 0.0)
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_peer_service.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_peer_service.py
@@ -14,6 +14,7 @@
     Digest,
     FetchRelease,
     FetchSummary,
+    KeepRecord,
     PeerMessage,
     decode_message,
     encode_message,
@@ -66,3 +67,8 @@
     @_handle_message.register
     async def _(self, message: CommitChanges) -> PeerMessage:
         return await self._ledger.commit_for_peer(message)
+
+    @_handle_message.register
+    async def _(self, message: KeepRecord) -> PeerMessage:
+        self._ledger.keep_for_peer(message.record)
+        return Acknowledged()
--- a/packages/ragwortpaddled/src/ragwortpaddled/protocol/_peers.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/_peers.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from ragwortpaddled.protocol._gossip import Delta, DigestEntry
-from ragwortpaddled.protocol._operations import Change, ChangeResult
+from ragwortpaddled.protocol._operations import Change, ChangeResult, OperationRecord
 from ragwortpaddled.protocol._platform import ObjectChange
 
 
@@ -66,6 +66,12 @@
     judgements: list[ChangeResult | None]
 
 
+class KeepRecord(msgspec.Struct, frozen=True, tag="keep_record"):
+    """Asks another daemon to keep a committed operation record for a time."""
+
+    record: OperationRecord
+
+
 class CrashReport(msgspec.Struct, frozen=True):
     """One crash of an endpoint, and what is known of the requests that may have caused it.
 
@@ -126,6 +132,7 @@
     | ReleaseReply
     | CommitChanges
     | ChangesReply
+    | KeepRecord
     | RelayNews
     | RelayNewsReply
     | Acknowledged
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -169,6 +169,22 @@
                 wait_for_outcome(daemon, key)
             assert execution_count(fleet, key) == 1
 
+    def test_daemon_that_ran_the_operations_and_wrote_their_records_is_gone(
+        self, new_installation: Callable[..., Fleet]
+    ) -> None:
+        fleet = new_installation()
+        keys = run_orders_that_the_store_loses(fleet)
+        fleet.daemons[0].kill()
+        fetch_json(f"{fleet.platform.url}/restore", {})
+        for daemon in fleet.daemons[1:]:
+            wait_until(
+                lambda d=daemon: send_order(d, new_key()).status == 200,
+                "operations are accepted again",
+            )
+            for key in keys:
+                send_order(daemon, key)
+                assert execution_count(fleet, key) == 1
+
 
 class TestLostServiceReplies:
     @pytest.mark.parametrize(("fault", "executed"), [("drop_before", 0), ("drop_after", 1)])
