Acknowledge a restore only when no write to the operation records is in flight

A daemon now waits for its writes in flight before it acknowledges the restore, and sends no others that are based on a shard of the former era. test_restore_is_not_acknowledged_while_a_write_is_in_flight fails without the wait.

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_ledger.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_ledger.py
@@ -71,7 +71,7 @@
 
     async def run(self) -> None:
         """Write records again that a restored store has lost, until cancelled."""
-        await self._recovery.run(self._write_again)
+        await self._recovery.run(self._finish_writes, self._write_again)
 
     async def record_intent(self, intent: Intent) -> ChangeResult:
         """Record the intent to run an attempt and return the result of this change.
@@ -88,6 +88,10 @@
             raise LedgerUnavailableError("the store was restored, records may still be missing")
         return change_result
 
+    async def _finish_writes(self, era: int) -> None:
+        writers = list(self._writer_by_shard.values())
+        await asyncio.gather(*(writer.finish_write(era) for writer in writers))
+
     async def _write_again(self, era: int, records: list[OperationRecord]) -> None:
         writers = list(self._writer_by_shard.values())
         await asyncio.gather(
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_ledger_recovery.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_ledger_recovery.py
@@ -69,9 +69,14 @@
             self._recent_by_key.popitem(last=False)
 
     async def run(
-        self, write_again: Callable[[int, list[OperationRecord]], Awaitable[None]]
+        self,
+        finish_writes: Callable[[int], Awaitable[None]],
+        write_again: Callable[[int, list[OperationRecord]], Awaitable[None]],
     ) -> None:
-        """Call ``write_again`` with the era and the recent records after each restore."""
+        """Call ``write_again`` with the era and the recent records after each restore.
+
+        ``finish_writes`` waits for the writes that were sent before the restore was known.
+        """
         while True:
             others = list(self._fleet_view.eras_of_others())
             self._era_of_others = max((other.known for other in others), default=None)
@@ -79,8 +84,10 @@
             if era is not None and self._recovered_era is None:
                 self._set_recovered(era)
             elif era is not None and self._recovered_era != era:
+                # A daemon that does not know of the restore, or whose write is in flight, may
+                # overwrite what is written again: revisions are given out a second time.
+                await finish_writes(era)
                 self._publish()
-                # A daemon that does not know of the restore yet may overwrite what is written now.
                 if all(other.known >= era for other in others):
                     records = self._recent_records()
                     logger.warning("store restored, era %d: %d records", era, len(records))
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_shard_writer.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_shard_writer.py
@@ -100,6 +100,12 @@
         """Base later results on a shard of this era of the store or of a later one."""
         self._required_era = max(self._required_era, era)
 
+    async def finish_write(self, era: int) -> None:
+        """Wait for a write in flight; later ones need this era of the store or a later one."""
+        self.require_era(era)
+        async with self._write_lock:
+            return
+
     async def recover(self, era: int) -> None:
         """Write the known records again that the store has lost when its era began.
 
--- a/tests/test_ledger_recovery.py
+++ b/tests/test_ledger_recovery.py
@@ -1,11 +1,18 @@
 """When the operation records count as complete after a restore, without processes."""
 
 import asyncio
+import time
 from collections.abc import Callable
+from typing import cast
 
+import msgspec
+import pytest
 from ragwortpaddled.coordination import FleetView
 from ragwortpaddled.coordination._ledger_recovery import LedgerRecovery
+from ragwortpaddled.coordination._shard_writer import LedgerUnavailableError, ShardWriter
 from ragwortpaddled.protocol import (
+    STORE_ERA_KEY,
+    ChangeStatus,
     FetchSummary,
     Intent,
     MemberSummary,
@@ -30,6 +37,8 @@
         self.platform = PlatformClient(HttpClient(), "http://127.0.0.1:1", 1.0)
         self.recovery = LedgerRecovery(view, self.platform)
         self.written: list[tuple[int, list[OperationRecord]]] = []
+        self.writes_finished = asyncio.Event()
+        self.writes_finished.set()
         view.joined = True
         self.platform.era_known = True
 
@@ -43,9 +52,18 @@
         """Note the records that are written again."""
         self.written.append((era, records))
 
+    async def finish_writes(self, era: int) -> None:
+        """Wait for the writes in flight."""
+        await self.writes_finished.wait()
+
+    def published_era(self) -> StoreEra:
+        """Return what this daemon has published."""
+        value = self.view.membership.table.own.value(STORE_ERA_KEY)
+        return msgspec.msgpack.decode(value, type=StoreEra)
+
     async def poll(self) -> None:
         """Run one round of the recovery."""
-        running = asyncio.create_task(self.recovery.run(self.write_again))
+        running = asyncio.create_task(self.recovery.run(self.finish_writes, self.write_again))
         await asyncio.sleep(0.05)
         running.cancel()
 
@@ -87,6 +105,22 @@
 
         run_with_daemon(restore)
 
+    def test_restore_is_not_acknowledged_while_a_write_is_in_flight(self) -> None:
+        """The write may overwrite records that other daemons have written again."""
+
+        async def restore(daemon: RecoveringDaemon) -> None:
+            daemon.set_other(0, 0)
+            assert daemon.recovery.complete_era == 0
+            daemon.writes_finished.clear()
+            daemon.set_other(1, 0)
+            await daemon.poll()
+            assert daemon.published_era() == StoreEra(0, 0)
+            daemon.writes_finished.set()
+            await daemon.poll()
+            assert daemon.published_era() == StoreEra(1, 1)
+
+        run_with_daemon(restore)
+
     def test_started_daemon_waits_until_it_has_joined(self) -> None:
         def start(daemon: RecoveringDaemon) -> None:
             daemon.view.joined = False
@@ -106,3 +140,40 @@
             assert daemon.recovery.complete_era == 1
 
         run_with_daemon(learn)
+
+
+class HeldStore:
+    """A store in which the first write stays in flight until it is released."""
+
+    def __init__(self) -> None:
+        self.era = 0
+        self.released = asyncio.Event()
+
+    async def get(self, key: str, purpose: str) -> None:
+        """Return that the object is absent."""
+
+    async def put(self, key: str, value: str, expected: int, purpose: str) -> int:
+        """Write once released."""
+        await self.released.wait()
+        return 1
+
+
+class TestWriteInFlight:
+    def test_write_is_waited_for_and_later_ones_need_the_new_era(self) -> None:
+        async def learn_of_a_restore() -> None:
+            store = HeldStore()
+            writer = ShardWriter(0, cast(PlatformClient, store), lambda: True)
+            intent = Intent("key", "attempt", "digest", 0.0, time.time() + 60)
+            submitted = asyncio.create_task(writer.submit(intent))
+            await asyncio.sleep(0.05)
+            finishing = asyncio.create_task(writer.finish_write(1))
+            await asyncio.sleep(0.05)
+            assert not finishing.done()
+            store.released.set()
+            await finishing
+            assert (await submitted).verdict is ChangeStatus.GRANTED
+            with pytest.raises(LedgerUnavailableError, match="era 1 is known"):
+                await writer.submit(msgspec.structs.replace(intent, key="other"))
+            await writer.close()
+
+        asyncio.run(learn_of_a_restore())
