--- a/tests/history.py
+++ b/tests/history.py
@@ -13,15 +13,23 @@
 import time
 import urllib.error
 import urllib.request
+import uuid
 from collections import Counter, defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 
 from client_helpers import encode_chat_request, expected_chat_text
 from ragwortpaddle_standins import demo
 from ragwortpaddle_standins.demo import API_TOKEN, LAYER_COUNT, LAYER_RANGES
-from ragwortpaddle_standins.fleet import EngineShape, Fleet, Process, fetch_json
+from ragwortpaddle_standins.fleet import (
+    EngineShape,
+    Fleet,
+    Process,
+    fetch_json,
+    wait_until,
+)
 
 OBJECTS_PATH = Path(__file__).parent.parent / "examples" / "workshops.ini"
 ROUND_SECONDS = 6.0
@@ -29,6 +37,7 @@
 CHAT_CALLER_COUNT = 4
 MAX_REQUESTS_PER_OPERATION = 3
 ANSWER_TOKENS = 60
+REPEATED_OPERATIONS = 60  # right after a restore of the store, and once more later
 
 
 @dataclass(frozen=True)
@@ -243,6 +252,7 @@
             self._slow_store,
             self._lose_replies,
             self._late_writes,
+            self._restore_store,
             self._drop_answers,
             self._slow_service,
             self._stray_replies,
@@ -309,6 +319,33 @@
         delay_ms = self._random.randrange(900, 2500)
         self._fleet.platform.set_faults(lose_replies=2, late_writes_ms=delay_ms)
 
+    def _restore_store(self) -> None:
+        """Restore the store from a copy, also after one daemon has ended.
+
+        A record is lost if two daemons end before it has been written again, so the next fault
+        waits until operations are accepted.
+        """
+        fetch_json(f"{self._fleet.platform.url}/copy", {})
+        time.sleep(self._random.uniform(0.2, 2.0))
+        if self._random.random() < 0.5:
+            self._kill_daemon()
+        fetch_json(f"{self._fleet.platform.url}/restore", {})
+        self._repeat_answered_operations()
+        for daemon in self._fleet.daemons:
+            wait_until(partial(self._accepts_operations, daemon), "operations are accepted")
+        self._repeat_answered_operations()
+
+    def _repeat_answered_operations(self) -> None:
+        with self._lock:
+            answered = [r.key for r in self.history.operation_responses if r.status == 200]
+        for key in answered[-REPEATED_OPERATIONS:]:
+            response = self._send_operation(self._random.choice(self._fleet.daemons), key)
+            with self._lock:
+                self.history.operation_responses.append(response)
+
+    def _accepts_operations(self, daemon: Process) -> bool:
+        return self._send_operation(daemon, str(uuid.uuid4())).status == 200
+
     def _drop_answers(self) -> None:
         fault = self._random.choice(["drop_before", "drop_after"])
         self._fleet.processes["parts-1"].set_faults(**{fault: self._random.randrange(1, 4)})
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -6,6 +6,7 @@
 import sys
 from pathlib import Path
 
+import ragwortpaddled.coordination._ledger_recovery as ledger_recovery
 import ragwortpaddled.coordination._releases as releases
 import ragwortpaddled.protocol._engine as engine
 import ragwortpaddled.state._operations as operations
@@ -39,6 +40,11 @@
     releases.ReleaseTracker.adopt = adopt_then_revert
 
 
+def grant_while_records_are_missing() -> None:
+    """Take the operation records for complete as soon as the store answers after a restore."""
+    ledger_recovery.LedgerRecovery.complete_era = ledger_recovery.LedgerRecovery.era
+
+
 def say_not_run() -> None:
     """Report every refused request as not executed, even if its outcome is unknown."""
     from ragwortpaddled.protocol import Executed, Refusal
@@ -54,7 +60,13 @@
 
 MUTATION_BY_GUARD = {
     mutation.__name__: mutation
-    for mutation in (rerun_in_doubt, accept_any_result, adopt_any_release, say_not_run)
+    for mutation in (
+        rerun_in_doubt,
+        accept_any_result,
+        adopt_any_release,
+        grant_while_records_are_missing,
+        say_not_run,
+    )
 }
 
 
--- a/tests/test_mutants.py
+++ b/tests/test_mutants.py
@@ -8,7 +8,8 @@
 import pytest
 from client_helpers import expected_chat_text, send_request, stream_chat
 from ragwortpaddle_standins import demo
-from ragwortpaddle_standins.fleet import Fleet, fetch_json
+from ragwortpaddle_standins.fleet import Fleet, fetch_json, wait_until
+from test_operations import execution_count, run_orders_that_the_store_loses, send_order
 
 OBJECTS_PATH = Path(__file__).parent.parent / "examples" / "workshops.ini"
 MUTANTS_DIRECTORY = Path(__file__).parent
@@ -64,3 +65,17 @@
         executions = fetch_json(f"{mutated_fleet.processes['parts-1'].url}/executions")
         assert http_response.executed == "no"
         assert [item["idempotency_key"] for item in executions] == ["lost"]
+
+    @pytest.mark.parametrize("mutated_fleet", ["grant_while_records_are_missing"], indirect=True)
+    def test_granting_while_records_are_missing_executes_a_key_again(
+        self, mutated_fleet: Fleet
+    ) -> None:
+        keys = run_orders_that_the_store_loses(mutated_fleet)
+        holder, writer, other = mutated_fleet.daemons
+        writer.kill()
+        holder.suspend()
+        fetch_json(f"{mutated_fleet.platform.url}/restore", {})
+        for key in keys:
+            wait_until(lambda k=key: send_order(other, k).status == 200, "the order is accepted")
+        holder.resume()
+        assert any(execution_count(mutated_fleet, key) > 1 for key in keys)
