--- a/packages/ragwortpaddled/src/ragwortpaddled/_daemon.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/_daemon.py
@@ -267,6 +267,7 @@
         await self._version_reconciler.close()
         await self._endpoint_directory.close()
         await self._ledger.close()
+        await self._fleet_view.close()
         await self._membership.close()
         await self._peer_server.close()
         self._links.close()
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_fleet_view.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_fleet_view.py
@@ -105,6 +105,12 @@
         for data_centre in self._other_data_centres():
             self._start_exchange(data_centre)
 
+    async def close(self) -> None:
+        """Cancel the exchanges in flight."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
     def handle_summary(self, message: FetchSummary) -> SummaryReply:
         """Publish another data centre's summary and return that of the own data centre."""
         self._publish_summary(message.data_centre, message.summary)
