Raise a transport error when a client of a peer is closed during a request

The context of a request is closed after the exchange; if the client had been closed meanwhile, that raised pynng.Closed, which hid the error of the exchange. Callers handle TransportError only, so the exchange with a peer ended as an unexpected error (a copy of an operation record would have failed its operation). The context is now closed without complaint if it is closed already, and a closed client counts as one that has sent nothing.

--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_peer_socket.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_peer_socket.py
@@ -1,6 +1,7 @@
 """Requests and replies between daemons over pynng, authenticated with the key ring."""
 
 import asyncio
+import contextlib
 import logging
 import secrets
 import socket
@@ -107,22 +108,35 @@
         """
         nonce = secrets.token_bytes(NONCE_BYTES)
         message = self._keys.sign(body, REQUEST_CONTEXT_PREFIX + nonce)
-        with self._socket.new_context() as context:
-            try:
-                async with asyncio.timeout(timeout_seconds):
-                    await context.asend(message)
-            except (TimeoutError, pynng.NNGException) as error:
-                raise NotSentError(f"{self.address}: {error!r}") from error
-            try:
-                async with asyncio.timeout(timeout_seconds):
-                    data = await context.arecv()
-            except (TimeoutError, pynng.NNGException) as error:
-                raise ReplyLostError(f"{self.address}: {error!r}") from error
+        try:
+            context = self._socket.new_context()
+        except pynng.NNGException as error:
+            raise NotSentError(f"{self.address}: {error!r}") from error
+        try:
+            data = await self._exchange(context, message, timeout_seconds)
+        finally:
+            # The context is closed already if the client was closed during the exchange.
+            with contextlib.suppress(pynng.Closed):
+                context.close()
         if data == REFUSED_REPLY:
             raise PeerRefusedError(f"{self.address} rejected the request")
         reply, _ = self._keys.verify(data, REPLY_CONTEXT_PREFIX + nonce)
         return reply
 
+    async def _exchange(
+        self, context: pynng.Context, message: bytes, timeout_seconds: float
+    ) -> bytes:
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                await context.asend(message)
+        except (TimeoutError, pynng.NNGException) as error:
+            raise NotSentError(f"{self.address}: {error!r}") from error
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                return await context.arecv()
+        except (TimeoutError, pynng.NNGException) as error:
+            raise ReplyLostError(f"{self.address}: {error!r}") from error
+
     def close(self) -> None:
         """Close the connection."""
         self._socket.close()
