--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_ledger.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_ledger.py
@@ -11,9 +11,8 @@
 import asyncio
 import logging
 import time
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Callable
 from functools import partial
-from typing import Any
 
 from ragwortpaddled.coordination._fleet_view import FleetView
 from ragwortpaddled.coordination._ledger_recovery import LedgerRecovery
@@ -66,7 +65,7 @@
         self._writer_by_shard: dict[int, ShardWriter] = {}
         self._channel_by_shard: dict[int, _PreferredWriterChannel] = {}
         self._backoff_until_by_address: dict[str, float] = {}
-        self._completion_tasks: set[asyncio.Task[object]] = set()
+        self._completion_tasks: set[asyncio.Task[None]] = set()
         self._recovery = LedgerRecovery(fleet_view, platform)
 
     async def run(self) -> None:
@@ -84,7 +83,7 @@
         change_result = await self._commit(intent)
         if change_result.verdict is ChangeStatus.WITHHELD:
             raise RecordsMissingError("the store was restored, records may still be missing")
-        if change_result.verdict is ChangeStatus.GRANTED and self._recovery.complete_era is None:
+        if change_result.verdict is ChangeStatus.GRANTED and self._recovery.complete_era() is None:
             raise LedgerUnavailableError("the store was restored, records may still be missing")
         return change_result
 
@@ -101,10 +100,7 @@
 
     def record_completion(self, completion: Completion) -> None:
         """Record the completion of an attempt in the background, retrying until it is committed."""
-        self._run_in_background(_retry_until_committed(partial(self._commit, completion)))
-
-    def _run_in_background(self, commit: Coroutine[Any, Any, object]) -> None:
-        task = asyncio.create_task(commit)
+        task = asyncio.create_task(_retry_until_committed(partial(self._commit, completion)))
         self._completion_tasks.add(task)
         task.add_done_callback(self._completion_tasks.discard)
 
@@ -203,7 +199,7 @@
     def _writer_of(self, shard: int) -> ShardWriter:
         if shard not in self._writer_by_shard:
             self._writer_by_shard[shard] = ShardWriter(
-                shard, self._platform, lambda: self._recovery.complete_era is not None
+                shard, self._platform, lambda: self._recovery.complete_era() is not None
             )
         return self._writer_by_shard[shard]
 
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_ledger_recovery.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_ledger_recovery.py
@@ -44,7 +44,6 @@
         own_era = self._platform.era if self._platform.era_known else None
         return max((era for era in (own_era, self._era_of_others) if era is not None), default=None)
 
-    @property
     def complete_era(self) -> int | None:
         """Return the store's era if no record from before it is missing, None if one may be."""
         era = self.era
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -42,7 +42,7 @@
 
 def grant_while_records_are_missing() -> None:
     """Take the operation records for complete as soon as the store answers after a restore."""
-    ledger_recovery.LedgerRecovery.complete_era = ledger_recovery.LedgerRecovery.era
+    ledger_recovery.LedgerRecovery.complete_era = lambda self: self.era
 
 
 def say_not_run() -> None:
--- a/tests/test_ledger_recovery.py
+++ b/tests/test_ledger_recovery.py
@@ -81,16 +81,16 @@
     def test_reply_that_shows_a_restore_ends_it_at_once(self) -> None:
         def restore(daemon: RecoveringDaemon) -> None:
             daemon.set_other(0, 0)
-            assert daemon.recovery.complete_era == 0
+            assert daemon.recovery.complete_era() == 0
             daemon.platform.era = 1
-            assert daemon.recovery.complete_era is None
+            assert daemon.recovery.complete_era() is None
 
         run_with_daemon(restore)
 
     def test_waits_for_all_other_daemons(self) -> None:
         async def restore(daemon: RecoveringDaemon) -> None:
             daemon.set_other(0, 0)
-            assert daemon.recovery.complete_era == 0
+            assert daemon.recovery.complete_era() == 0
             daemon.recovery.keep(RECORD)
             daemon.platform.era = 1
             await daemon.poll()
@@ -99,9 +99,9 @@
             daemon.set_other(1, 0)
             await daemon.poll()
             assert daemon.written == [(1, [RECORD])]
-            assert daemon.recovery.complete_era is None
+            assert daemon.recovery.complete_era() is None
             daemon.set_other(1, 1)
-            assert daemon.recovery.complete_era == 1
+            assert daemon.recovery.complete_era() == 1
 
         run_with_daemon(restore)
 
@@ -110,7 +110,7 @@
 
         async def restore(daemon: RecoveringDaemon) -> None:
             daemon.set_other(0, 0)
-            assert daemon.recovery.complete_era == 0
+            assert daemon.recovery.complete_era() == 0
             daemon.writes_finished.clear()
             daemon.set_other(1, 0)
             await daemon.poll()
@@ -124,20 +124,20 @@
     def test_started_daemon_waits_until_it_has_joined(self) -> None:
         def start(daemon: RecoveringDaemon) -> None:
             daemon.view.joined = False
-            assert daemon.recovery.complete_era is None
+            assert daemon.recovery.complete_era() is None
             daemon.view.joined = True
-            assert daemon.recovery.complete_era == 0
+            assert daemon.recovery.complete_era() == 0
 
         run_with_daemon(start)
 
     def test_restore_is_learned_from_another_daemon(self) -> None:
         async def learn(daemon: RecoveringDaemon) -> None:
             daemon.set_other(0, 0)
-            assert daemon.recovery.complete_era == 0
+            assert daemon.recovery.complete_era() == 0
             daemon.set_other(1, 1)
             await daemon.poll()
             assert daemon.written == [(1, [])]
-            assert daemon.recovery.complete_era == 1
+            assert daemon.recovery.complete_era() == 1
 
         run_with_daemon(learn)
 
