Acknowledge a second restore only after its own wait for writes in flight

Found by reading the change again: a daemon that ended one recovery published the latest era that it knew.

What is published is now the era for which the wait took place. test_restore_during_a_recovery_is_not_acknowledged_with_it failed before: known 2 instead of 1. The tests of the file are coroutines with a fixture now, like others here, in place of a wrapper; their assertions are the same.

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_ledger_recovery.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_ledger_recovery.py
@@ -77,32 +77,38 @@
         ``finish_writes`` waits for the writes that were sent before the restore was known.
         """
         while True:
-            others = list(self._fleet_view.eras_of_others())
-            self._era_of_others = max((other.known for other in others), default=None)
-            era = self.era
-            if era is not None and self._recovered_era is None:
-                self._set_recovered(era)
-            elif era is not None and self._recovered_era != era:
-                # A daemon that does not know of the restore, or whose write is in flight, may
-                # overwrite what is written again: revisions are given out a second time.
-                await finish_writes(era)
-                self._publish()
-                if all(other.known >= era for other in others):
-                    records = self._recent_records()
-                    logger.warning("store restored, era %d: %d records", era, len(records))
-                    await write_again(era, records)
-                    self._set_recovered(era)
+            await self._follow_era(finish_writes, write_again)
             await asyncio.sleep(POLL_INTERVAL_SECONDS)
 
+    async def _follow_era(
+        self,
+        finish_writes: Callable[[int], Awaitable[None]],
+        write_again: Callable[[int, list[OperationRecord]], Awaitable[None]],
+    ) -> None:
+        others = list(self._fleet_view.eras_of_others())
+        self._era_of_others = max((other.known for other in others), default=None)
+        era = self.era
+        if era is None or era == self._recovered_era:
+            return
+        if self._recovered_era is None:
+            self._set_recovered(era)
+            return
+        # A daemon that does not know of the restore, or whose write is in flight, may overwrite
+        # what is written again: revisions are given out a second time.
+        await finish_writes(era)
+        self._publish(StoreEra(era, self._recovered_era))
+        if any(other.known < era for other in others):
+            return
+        records = self._recent_records()
+        logger.warning("store restored, era %d: %d records", era, len(records))
+        await write_again(era, records)
+        self._set_recovered(era)
+
     def _set_recovered(self, era: int) -> None:
         self._recovered_era = era
-        self._publish()
+        self._publish(StoreEra(era, era))
 
-    def _publish(self) -> None:
-        era, recovered_era = self.era, self._recovered_era
-        if era is None or recovered_era is None:
-            return
-        store_era = StoreEra(era, recovered_era)
+    def _publish(self, store_era: StoreEra) -> None:
         if self._fleet_view.membership.table.publish(STORE_ERA_KEY, encode_value(store_era)):
             self._fleet_view.gossip_now()
 
--- a/tests/test_ledger_recovery.py
+++ b/tests/test_ledger_recovery.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import time
-from collections.abc import Callable
 from typing import cast
 
 import msgspec
@@ -37,6 +36,7 @@
         self.platform = PlatformClient(HttpClient(), "http://127.0.0.1:1", 1.0)
         self.recovery = LedgerRecovery(view, self.platform)
         self.written: list[tuple[int, list[OperationRecord]]] = []
+        self.era_after_writing = 0
         self.writes_finished = asyncio.Event()
         self.writes_finished.set()
         view.joined = True
@@ -51,6 +51,7 @@
     async def write_again(self, era: int, records: list[OperationRecord]) -> None:
         """Note the records that are written again."""
         self.written.append((era, records))
+        self.platform.era = max(self.platform.era, self.era_after_writing)
 
     async def finish_writes(self, era: int) -> None:
         """Wait for the writes in flight."""
@@ -68,78 +69,75 @@
         running.cancel()
 
 
-def run_with_daemon(test: Callable[[RecoveringDaemon], object]) -> None:
-    async def run() -> None:
-        result = test(RecoveringDaemon(await make_fleet_view()))
-        if asyncio.iscoroutine(result):
-            await result
-
-    asyncio.run(run())
+@pytest.fixture
+async def daemon() -> RecoveringDaemon:
+    return RecoveringDaemon(await make_fleet_view())
 
 
 class TestCompleteEra:
-    def test_reply_that_shows_a_restore_ends_it_at_once(self) -> None:
-        def restore(daemon: RecoveringDaemon) -> None:
-            daemon.set_other(0, 0)
-            assert daemon.recovery.complete_era() == 0
-            daemon.platform.era = 1
-            assert daemon.recovery.complete_era() is None
-
-        run_with_daemon(restore)
-
-    def test_waits_for_all_other_daemons(self) -> None:
-        async def restore(daemon: RecoveringDaemon) -> None:
-            daemon.set_other(0, 0)
-            assert daemon.recovery.complete_era() == 0
-            daemon.recovery.keep(RECORD)
-            daemon.platform.era = 1
-            await daemon.poll()
-            # The other daemon may still overwrite what is written now.
-            assert daemon.written == []
-            daemon.set_other(1, 0)
-            await daemon.poll()
-            assert daemon.written == [(1, [RECORD])]
-            assert daemon.recovery.complete_era() is None
-            daemon.set_other(1, 1)
-            assert daemon.recovery.complete_era() == 1
-
-        run_with_daemon(restore)
-
-    def test_restore_is_not_acknowledged_while_a_write_is_in_flight(self) -> None:
+    async def test_reply_that_shows_a_restore_ends_it_at_once(
+        self, daemon: RecoveringDaemon
+    ) -> None:
+        daemon.set_other(0, 0)
+        assert daemon.recovery.complete_era() == 0
+        daemon.platform.era = 1
+        assert daemon.recovery.complete_era() is None
+
+    async def test_waits_for_all_other_daemons(self, daemon: RecoveringDaemon) -> None:
+        daemon.set_other(0, 0)
+        assert daemon.recovery.complete_era() == 0
+        daemon.recovery.keep(RECORD)
+        daemon.platform.era = 1
+        await daemon.poll()
+        # The other daemon may still overwrite what is written now.
+        assert daemon.written == []
+        daemon.set_other(1, 0)
+        await daemon.poll()
+        assert daemon.written == [(1, [RECORD])]
+        assert daemon.recovery.complete_era() is None
+        daemon.set_other(1, 1)
+        assert daemon.recovery.complete_era() == 1
+
+    async def test_restore_is_not_acknowledged_while_a_write_is_in_flight(
+        self, daemon: RecoveringDaemon
+    ) -> None:
         """The write may overwrite records that other daemons have written again."""
-
-        async def restore(daemon: RecoveringDaemon) -> None:
-            daemon.set_other(0, 0)
-            assert daemon.recovery.complete_era() == 0
-            daemon.writes_finished.clear()
-            daemon.set_other(1, 0)
-            await daemon.poll()
-            assert daemon.published_era() == StoreEra(0, 0)
-            daemon.writes_finished.set()
-            await daemon.poll()
-            assert daemon.published_era() == StoreEra(1, 1)
-
-        run_with_daemon(restore)
-
-    def test_started_daemon_waits_until_it_has_joined(self) -> None:
-        def start(daemon: RecoveringDaemon) -> None:
-            daemon.view.joined = False
-            assert daemon.recovery.complete_era() is None
-            daemon.view.joined = True
-            assert daemon.recovery.complete_era() == 0
-
-        run_with_daemon(start)
-
-    def test_restore_is_learned_from_another_daemon(self) -> None:
-        async def learn(daemon: RecoveringDaemon) -> None:
-            daemon.set_other(0, 0)
-            assert daemon.recovery.complete_era() == 0
-            daemon.set_other(1, 1)
-            await daemon.poll()
-            assert daemon.written == [(1, [])]
-            assert daemon.recovery.complete_era() == 1
-
-        run_with_daemon(learn)
+        daemon.set_other(0, 0)
+        assert daemon.recovery.complete_era() == 0
+        daemon.writes_finished.clear()
+        daemon.set_other(1, 0)
+        await daemon.poll()
+        assert daemon.published_era() == StoreEra(0, 0)
+        daemon.writes_finished.set()
+        await daemon.poll()
+        assert daemon.published_era() == StoreEra(1, 1)
+
+    async def test_restore_during_a_recovery_is_not_acknowledged_with_it(
+        self, daemon: RecoveringDaemon
+    ) -> None:
+        """Writes that were sent before the second restore may still be in flight."""
+        daemon.set_other(0, 0)
+        assert daemon.recovery.complete_era() == 0
+        daemon.era_after_writing = 2
+        daemon.set_other(1, 0)
+        await daemon.poll()
+        assert daemon.platform.era == 2
+        assert daemon.published_era() == StoreEra(1, 1)
+        assert daemon.recovery.complete_era() is None
+
+    async def test_started_daemon_waits_until_it_has_joined(self, daemon: RecoveringDaemon) -> None:
+        daemon.view.joined = False
+        assert daemon.recovery.complete_era() is None
+        daemon.view.joined = True
+        assert daemon.recovery.complete_era() == 0
+
+    async def test_restore_is_learned_from_another_daemon(self, daemon: RecoveringDaemon) -> None:
+        daemon.set_other(0, 0)
+        assert daemon.recovery.complete_era() == 0
+        daemon.set_other(1, 1)
+        await daemon.poll()
+        assert daemon.written == [(1, [])]
+        assert daemon.recovery.complete_era() == 1
 
 
 class HeldStore:
@@ -159,21 +157,18 @@
 
 
 class TestWriteInFlight:
-    def test_write_is_waited_for_and_later_ones_need_the_new_era(self) -> None:
-        async def learn_of_a_restore() -> None:
-            store = HeldStore()
-            writer = ShardWriter(0, cast(PlatformClient, store), lambda: True)
-            intent = Intent("key", "attempt", "digest", 0.0, time.time() + 60)
-            submitted = asyncio.create_task(writer.submit(intent))
-            await asyncio.sleep(0.05)
-            finishing = asyncio.create_task(writer.finish_write(1))
-            await asyncio.sleep(0.05)
-            assert not finishing.done()
-            store.released.set()
-            await finishing
-            assert (await submitted).verdict is ChangeStatus.GRANTED
-            with pytest.raises(LedgerUnavailableError, match="era 1 is known"):
-                await writer.submit(msgspec.structs.replace(intent, key="other"))
-            await writer.close()
-
-        asyncio.run(learn_of_a_restore())
+    async def test_write_is_waited_for_and_later_ones_need_the_new_era(self) -> None:
+        store = HeldStore()
+        writer = ShardWriter(0, cast(PlatformClient, store), lambda: True)
+        intent = Intent("key", "attempt", "digest", 0.0, time.time() + 60)
+        submitted = asyncio.create_task(writer.submit(intent))
+        await asyncio.sleep(0.05)
+        finishing = asyncio.create_task(writer.finish_write(1))
+        await asyncio.sleep(0.05)
+        assert not finishing.done()
+        store.released.set()
+        await finishing
+        assert (await submitted).verdict is ChangeStatus.GRANTED
+        with pytest.raises(LedgerUnavailableError, match="era 1 is known"):
+            await writer.submit(msgspec.structs.replace(intent, key="other"))
+        await writer.close()
