--- a/tests/test_mutants.py
+++ b/tests/test_mutants.py
@@ -70,7 +70,7 @@
     def test_granting_while_records_are_missing_executes_a_key_again(
         self, mutated_fleet: Fleet
     ) -> None:
-        keys = run_orders_that_the_store_loses(mutated_fleet)
+        keys = run_orders_that_the_store_loses(mutated_fleet, mutated_fleet.daemons[:1], 8)
         holder, writer, other = mutated_fleet.daemons
         writer.kill()
         holder.suspend()
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -4,7 +4,7 @@
 import threading
 import time
 import uuid
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 
 import pytest
 from client_helpers import HttpResponse, send_request, stream_chat
@@ -48,16 +48,24 @@
     return str(uuid.uuid4())
 
 
-def run_orders_that_the_store_loses(fleet: Fleet) -> list[str]:
-    """Run operations through the first daemon after a copy of the store was taken."""
+def run_orders_that_the_store_loses(fleet: Fleet, daemons: list[Process], count: int) -> list[str]:
+    """Run operations through daemons in turn, after a copy of the store was taken."""
     fetch_json(f"{fleet.platform.url}/copy", {})
-    keys = [new_key() for _ in range(8)]
-    for key in keys:
-        assert send_order(fleet.daemons[0], key).status == 200
+    keys = [new_key() for _ in range(count)]
+    for key, daemon in zip(keys, itertools.cycle(daemons), strict=False):
+        assert send_order(daemon, key).status == 200
     wait_until(lambda: recorded_intent_count(fleet) == 0, "the outcomes are recorded")
     return keys
 
 
+def assert_outcomes_are_returned(fleet: Fleet, keys: list[str], daemons: Iterable[Process]) -> None:
+    """Repeat operations until each daemon returns their outcomes; none may run again."""
+    for key in keys:
+        for daemon in daemons:
+            wait_for_outcome(daemon, key)
+        assert execution_count(fleet, key) == 1
+
+
 def run_in_background(
     send: Callable[[], HttpResponse],
 ) -> tuple[threading.Thread, list[HttpResponse]]:
@@ -113,27 +121,20 @@
 
 class TestRestoredStore:
     def test_operation_whose_record_was_lost_is_not_run_again(self, fleet: Fleet) -> None:
-        fetch_json(f"{fleet.platform.url}/copy", {})
-        keys = [new_key() for _ in range(6)]
-        for number, key in enumerate(keys):
-            assert send_order(fleet.daemons[number % len(fleet.daemons)], key).status == 200
-        wait_until(lambda: recorded_intent_count(fleet) == 0, "the outcomes are recorded")
+        keys = run_orders_that_the_store_loses(fleet, fleet.daemons, 6)
         fetch_json(f"{fleet.platform.url}/restore", {})
         for daemon in fleet.daemons:
             for key in (keys[0], *(new_key() for _ in range(20))):
                 send_order(daemon, key)
             assert execution_count(fleet, keys[0]) == 1
-        for key in keys:
-            for daemon in fleet.daemons:
-                wait_for_outcome(daemon, key)
-            assert execution_count(fleet, key) == 1
+        assert_outcomes_are_returned(fleet, keys, fleet.daemons)
 
     def test_daemon_that_committed_the_record_is_gone(
         self, new_installation: Callable[..., Fleet]
     ) -> None:
         """Each record was known to the daemon of the caller and to the one that wrote it."""
         fleet = new_installation()
-        keys = run_orders_that_the_store_loses(fleet)
+        keys = run_orders_that_the_store_loses(fleet, fleet.daemons[:1], 8)
         fleet.daemons[1].kill()
         fetch_json(f"{fleet.platform.url}/restore", {})
         survivors = (fleet.daemons[2], fleet.daemons[0])
@@ -141,16 +142,13 @@
             for daemon in survivors:
                 send_order(daemon, key)
             assert execution_count(fleet, key) == 1
-        for key in keys:
-            for daemon in survivors:
-                wait_for_outcome(daemon, key)
-            assert execution_count(fleet, key) == 1
+        assert_outcomes_are_returned(fleet, keys, survivors)
 
     def test_daemon_that_keeps_the_records_is_paused_during_the_restore(
         self, new_installation: Callable[..., Fleet]
     ) -> None:
         fleet = new_installation()
-        keys = run_orders_that_the_store_loses(fleet)
+        keys = run_orders_that_the_store_loses(fleet, fleet.daemons[:1], 8)
         holder, writer, other = fleet.daemons
         writer.kill()
         holder.suspend()
@@ -164,16 +162,13 @@
             if time.monotonic() > end_at:
                 break
         holder.resume()
-        for key in keys:
-            for daemon in (started, other, holder):
-                wait_for_outcome(daemon, key)
-            assert execution_count(fleet, key) == 1
+        assert_outcomes_are_returned(fleet, keys, (started, other, holder))
 
     def test_daemon_that_ran_the_operations_and_wrote_their_records_is_gone(
         self, new_installation: Callable[..., Fleet]
     ) -> None:
         fleet = new_installation()
-        keys = run_orders_that_the_store_loses(fleet)
+        keys = run_orders_that_the_store_loses(fleet, fleet.daemons[:1], 8)
         fleet.daemons[0].kill()
         fetch_json(f"{fleet.platform.url}/restore", {})
         for daemon in fleet.daemons[1:]:
