Give every decoder of foreign bytes one error, also for deep nesting

Seen by callers: nothing was served. Seen by operators: the daemon logged "background task failed, shutting down" with a RecursionError, on every VM and after each restart, because of one object that was nested 100,000 deep. The peer server lost one of its 16 tasks for each message that was nested deeply, or whose context was longer than 65,535 bytes, though no peer had signed it; after 16 it answered nobody.

Cause: each place that decodes bytes of other programs expected only msgspec's own errors. Deep nesting raises RecursionError, text that is not UTF-8 raises UnicodeDecodeError, and the length of a context that does not fit into two bytes raises OverflowError.

Change: decode_json raises ObjectsError for everything that a value can cause, with a bounded reason. An era of the store that is out of range counts as absent; versions and revisions have a range in which their sum still fits into the integers that daemons exchange.

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_crash_tracker.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_crash_tracker.py
@@ -16,12 +16,13 @@
 
 from ragwortpaddled import telemetry
 from ragwortpaddled.coordination._endpoint_client import EndpointClient
-from ragwortpaddled.errors import PlatformError, RefusedError, VersionConflictError
+from ragwortpaddled.errors import ObjectsError, PlatformError, RefusedError, VersionConflictError
 from ragwortpaddled.protocol import (
     ABSENT_VERSION,
     CrashReport,
     EndpointEntry,
     PlatformClient,
+    decode_json,
     era_of,
 )
 from ragwortpaddled.state import (
@@ -210,8 +211,8 @@
         quarantine_by_name = {}
         for stored in stored_list.objects:
             try:
-                quarantine = msgspec.json.decode(stored.value, type=_StoredQuarantine)
-            except msgspec.MsgspecError as error:
+                quarantine = decode_json(stored.value, _StoredQuarantine)
+            except ObjectsError as error:
                 fields = {"key": stored.key, "reason": str(error)}
                 logger.warning("malformed quarantine ignored", extra={"fields": fields})
                 continue
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_layer_placer.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_layer_placer.py
@@ -12,7 +12,12 @@
 from ragwortpaddled.coordination._engine_reports import EngineReports
 from ragwortpaddled.coordination._lease import Lease
 from ragwortpaddled.coordination._relay_directory import RelayDirectory
-from ragwortpaddled.errors import PlatformError, TransportError, WriteOutcomeUnknownError
+from ragwortpaddled.errors import (
+    ObjectsError,
+    PlatformError,
+    TransportError,
+    WriteOutcomeUnknownError,
+)
 from ragwortpaddled.protocol import (
     ABSENT_VERSION,
     Dialect,
@@ -21,6 +26,7 @@
     LayerRange,
     PlacementOrder,
     PlatformClient,
+    decode_json,
 )
 from ragwortpaddled.state import Chain, Engine, Stage, repair_chains
 from ragwortpaddled.transport import HttpExchange
@@ -320,8 +326,8 @@
     if stored is None:
         return _Plan(ABSENT_VERSION, 0, [])
     try:
-        value = msgspec.json.decode(stored.value, type=_PlanValue)
-    except msgspec.MsgspecError as error:
+        value = decode_json(stored.value, _PlanValue)
+    except ObjectsError as error:
         fields = {"key": stored.key, "reason": str(error)}
         logger.warning("malformed placement plan ignored, planning again", extra={"fields": fields})
         return _Plan(stored.version, 0, [])
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_lease.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_lease.py
@@ -17,11 +17,18 @@
 import msgspec
 
 from ragwortpaddled.errors import (
+    ObjectsError,
     PlatformError,
     VersionConflictError,
     WriteOutcomeUnknownError,
 )
-from ragwortpaddled.protocol import ABSENT_VERSION, PlatformClient, era_of, make_version
+from ragwortpaddled.protocol import (
+    ABSENT_VERSION,
+    PlatformClient,
+    decode_json,
+    era_of,
+    make_version,
+)
 
 LEASE_DURATION_SECONDS = 3.0
 SAFETY_MARGIN_SECONDS = 0.5  # the process may pause between checking the lease and acting
@@ -126,8 +133,8 @@
         if stored is None:
             return LeaseValue("", 0, 0), ABSENT_VERSION
         try:
-            value = msgspec.json.decode(stored.value, type=LeaseValue)
-        except msgspec.MsgspecError as error:
+            value = decode_json(stored.value, LeaseValue)
+        except ObjectsError as error:
             # Without the stored fencing token, a new holder's token might not exceed earlier ones.
             raise PlatformError(f"{self._key} is malformed: {error}") from error
         if stored.version != self._observed_version:
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_peer_links.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_peer_links.py
@@ -2,9 +2,6 @@
 
 import time
 
-import msgspec
-
-from ragwortpaddled.errors import PeerRefusedError
 from ragwortpaddled.protocol import (
     PeerMessage,
     decode_message,
@@ -45,10 +42,7 @@
         with tracer.start_as_current_span(f"peer {type(message).__name__}"):
             reply = await client.request(body, timeout_seconds)
         self.bytes_received += len(reply)
-        try:
-            return decode_message(reply)
-        except msgspec.MsgspecError as error:
-            raise PeerRefusedError(f"{address}: malformed reply") from error
+        return decode_message(reply)
 
     def close_idle(self) -> None:
         """Close connections that have not been used within the idle timeout."""
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_peers.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_peers.py
@@ -20,6 +20,7 @@
 from ragwortpaddled.coordination._peer_links import PeerLinks
 from ragwortpaddled.coordination._relay_directory import RelayDirectory
 from ragwortpaddled.errors import (
+    ObjectsError,
     PeerRefusedError,
     PlatformError,
     TransportError,
@@ -31,6 +32,7 @@
     RelayNews,
     RelayNewsReply,
     StoredObject,
+    decode_json,
     decode_message,
     encode_message,
     era_of,
@@ -198,10 +200,10 @@
         if stored is None:
             raise PlatformError(f"peer key {PEER_KEY_OBJECT} is missing")
         try:
-            text = msgspec.json.decode(stored.value, type=str)
+            text = decode_json(stored.value, str)
             # The first key signs, and a daemon that has just started knows only the stored one.
             self._keys.load(text if self._key_text in text else f"{text}\n{self._key_text}")
-        except (msgspec.MsgspecError, ValueError) as error:
+        except (ObjectsError, ValueError) as error:
             raise PlatformError(f"peer key {PEER_KEY_OBJECT} is malformed: {error}") from error
         self._key_text = text
 
@@ -226,8 +228,8 @@
             self._discard_peer_state(name)
         else:
             try:
-                entry = msgspec.json.decode(stored.value, type=_DaemonEntry)
-            except msgspec.MsgspecError as error:
+                entry = decode_json(stored.value, _DaemonEntry)
+            except ObjectsError as error:
                 fields = {"key": key, "reason": str(error)}
                 logger.warning("malformed daemon entry ignored", extra={"fields": fields})
                 return
--- a/packages/ragwortpaddled/src/ragwortpaddled/protocol/__init__.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/__init__.py
@@ -20,6 +20,7 @@
     StepResult,
 )
 from ragwortpaddled.protocol._gossip import Delta, DigestEntry, GossipEntry, Origin
+from ragwortpaddled.protocol._json import decode_json, decode_reply, shorten
 from ragwortpaddled.protocol._operations import (
     Change,
     ChangeResult,
@@ -117,7 +118,13 @@
     ServiceClient,
     end_to_end_headers,
 )
-from ragwortpaddled.protocol._store_version import era_of, make_version, revision_of
+from ragwortpaddled.protocol._store_version import (
+    Revision,
+    Version,
+    era_of,
+    make_version,
+    revision_of,
+)
 
 __all__ = [
     "ABSENT_VERSION",
@@ -198,6 +205,7 @@
     "RequestKind",
     "RequestMetadata",
     "ResponseMetadata",
+    "Revision",
     "SequenceRef",
     "ServiceCall",
     "ServiceClient",
@@ -212,9 +220,12 @@
     "SummaryReply",
     "TeamPoolDemand",
     "Usage",
+    "Version",
     "Vm",
     "VmListing",
+    "decode_json",
     "decode_message",
+    "decode_reply",
     "encode_error_event",
     "encode_message",
     "encode_value",
@@ -225,4 +236,5 @@
     "parse_completion_request",
     "parse_era",
     "revision_of",
+    "shorten",
 ]
--- a/packages/ragwortpaddled/src/ragwortpaddled/protocol/_peers.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/_peers.py
@@ -2,7 +2,9 @@
 
 import msgspec
 
+from ragwortpaddled.errors import PeerRefusedError
 from ragwortpaddled.protocol._gossip import Delta, DigestEntry
+from ragwortpaddled.protocol._json import shorten
 from ragwortpaddled.protocol._operations import Change, ChangeResult, OperationRecord
 from ragwortpaddled.protocol._platform import ObjectChange
 
@@ -150,6 +152,9 @@
 def decode_message(data: bytes) -> PeerMessage:
     """Decode a message.
 
-    :raises msgspec.MsgspecError: the message is malformed
+    :raises PeerRefusedError: the message is malformed
     """
-    return _DECODER.decode(data)
+    try:
+        return _DECODER.decode(data)
+    except (msgspec.MsgspecError, ValueError, OverflowError, RecursionError) as error:
+        raise PeerRefusedError(f"malformed message: {shorten(str(error))}") from error
--- a/packages/ragwortpaddled/src/ragwortpaddled/protocol/_platform.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/_platform.py
@@ -14,6 +14,7 @@
 from ragwortpaddled.errors import (
     HistoryLostError,
     NotSentError,
+    ObjectsError,
     PlatformError,
     PlatformUnavailableError,
     ReplyLostError,
@@ -21,7 +22,15 @@
     VersionConflictError,
     WriteOutcomeUnknownError,
 )
-from ragwortpaddled.protocol._store_version import era_of, make_version, revision_of
+from ragwortpaddled.protocol._json import decode_json
+from ragwortpaddled.protocol._store_version import (
+    ERA_BITS,
+    Revision,
+    Version,
+    era_of,
+    make_version,
+    revision_of,
+)
 from ragwortpaddled.telemetry import trace_headers, tracer
 from ragwortpaddled.transport import HttpExchange, HttpReply
 
@@ -29,6 +38,8 @@
 
 MAX_VALUE_BYTES = 1_000_000
 ABSENT_VERSION = 0
+MAX_ERA_DIGITS = 8
+MAX_REASONS_PER_LOG_LINE = 5
 
 logger = logging.getLogger(__name__)
 
@@ -36,11 +47,12 @@
 class StoredObject(msgspec.Struct, frozen=True):
     """An object and its version, which increases with each write and each restore of the store.
 
-    The versions that a dialect decodes are revisions; the client adds the era.
+    The versions that a dialect decodes are revisions; the client adds the era. The value is empty
+    if the stored bytes cannot be read.
     """
 
     key: str
-    version: int
+    version: Version
     value: str
 
 
@@ -48,13 +60,15 @@
     """Objects whose keys start with a prefix, as of one revision of the store.
 
     In the response to a watch, ``removed`` holds the deleted keys. If a list is incomplete,
-    ``continue_after`` is the key after which the next page starts.
+    ``continue_after`` is the key after which the next page starts. ``unreadable`` tells why
+    objects have an empty value or, without a key, are missing.
     """
 
-    revision: int
+    revision: Revision
     objects: list[StoredObject]
     removed: list[str] = []
     continue_after: str = ""
+    unreadable: list[str] = []
 
 
 class ObjectChange(msgspec.Struct, frozen=True):
@@ -64,7 +78,7 @@
     """
 
     key: str
-    version: int
+    version: Version
     value: str | None
 
 
@@ -93,7 +107,8 @@
 class StoreDialect(Protocol):
     """Builds the requests to a store and decodes its replies.
 
-    The decoding methods raise ``msgspec.MsgspecError`` or ``ValueError`` for a malformed reply.
+    The decoding methods raise ``ObjectsError`` or ``ValueError`` for a malformed reply. One
+    malformed object in a list hides no other.
     """
 
     def get(self, key: str) -> StoreRequest:
@@ -158,15 +173,15 @@
 
     def decode_list(self, prefix: str, reply: HttpReply) -> ObjectList:
         """Decode a list of objects."""
-        return msgspec.json.decode(reply.body, type=ObjectList)
+        return decode_json(reply.body, ObjectList)
 
     def decode_changes(self, prefix: str, reply: HttpReply) -> ObjectList:
         """Decode the reply to a watch."""
-        return msgspec.json.decode(reply.body, type=ObjectList)
+        return decode_json(reply.body, ObjectList)
 
     def decode_version(self, reply: HttpReply) -> int:
         """Decode the version from the reply to a write."""
-        return msgspec.json.decode(reply.body, type=_WriteResult).version
+        return decode_json(reply.body, _WriteResult).version
 
     def decode_era(self, reply: HttpReply) -> int | None:
         """Decode the store's era from the Object-Era header."""
@@ -179,8 +194,10 @@
 
 
 def parse_era(value: bytes | None) -> int | None:
-    """Return the era in a header's value, None if it is absent or malformed."""
-    return int(value) if value is not None and value.isdigit() else None
+    """Return the era in a header's value, None if it is absent, malformed or out of range."""
+    if value is None or not value.isdigit() or len(value) > MAX_ERA_DIGITS:
+        return None
+    return int(value) if int(value) < 1 << ERA_BITS else None
 
 
 class _VmList(msgspec.Struct, frozen=True):
@@ -188,7 +205,7 @@
 
 
 class _WriteResult(msgspec.Struct, frozen=True):
-    version: int
+    version: Version
 
 
 class PlatformClient:
@@ -262,6 +279,7 @@
             if era != first_era:
                 raise PlatformUnavailableError(f"{prefix}: the store was restored during the list")
             objects += [_add_era(stored, era) for stored in page.objects]
+            _log_unreadable(prefix, page.unreadable)
             after = page.continue_after
             if not after:
                 return ObjectList(make_version(era, page.revision), objects)
@@ -283,6 +301,7 @@
             raise HistoryLostError(restored)
         changes = _decode(lambda: self._dialect.decode_changes(prefix, reply))
         objects = [_add_era(stored, era) for stored in changes.objects]
+        _log_unreadable(prefix, changes.unreadable)
         return ObjectList(make_version(era, changes.revision), objects, changes.removed)
 
     async def list_vms(self, purpose: str) -> list[Vm]:
@@ -291,7 +310,7 @@
         :raises PlatformUnavailableError: the platform did not serve the request
         """
         reply = await self._read(StoreRequest("GET", "/vms"), purpose)
-        return _decode(lambda: msgspec.json.decode(reply.body, type=_VmList)).vms
+        return _decode(lambda: decode_json(reply.body, _VmList)).vms
 
     async def _read(self, call: StoreRequest, purpose: str, wait_seconds: float = 0.0) -> HttpReply:
         try:
@@ -385,5 +404,15 @@
 def _decode(decode: Callable[[], T]) -> T:
     try:
         return decode()
-    except (msgspec.MsgspecError, ValueError) as error:
+    except (ObjectsError, ValueError) as error:
         raise PlatformUnavailableError(f"malformed reply from the platform: {error}") from error
+
+
+def _log_unreadable(prefix: str, reasons: list[str]) -> None:
+    if reasons:
+        fields = {
+            "prefix": prefix,
+            "count": len(reasons),
+            "reasons": reasons[:MAX_REASONS_PER_LOG_LINE],
+        }
+        logger.warning("unreadable objects in the store", extra={"fields": fields})
--- a/packages/ragwortpaddled/src/ragwortpaddled/protocol/_store_version.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/_store_version.py
@@ -4,7 +4,15 @@
 increases with each restore, so a version consists of the era and the revision, era first.
 """
 
-REVISION_BITS = 40  # with an era below 8192, a version fits into the integers of JSON
+from typing import Annotated
+
+from msgspec import Meta
+
+REVISION_BITS = 40
+ERA_BITS = 13  # with the revision, a version fits into the integers of JSON
+
+Revision = Annotated[int, Meta(ge=0, lt=1 << REVISION_BITS)]
+Version = Annotated[int, Meta(ge=0, lt=1 << (ERA_BITS + REVISION_BITS))]
 
 
 def make_version(era: int, revision: int) -> int:
--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_keyring.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_keyring.py
@@ -9,6 +9,7 @@
 from ragwortpaddled.errors import PeerRefusedError, SettingsError
 
 MAC_BYTES = 32
+MAX_CONTEXT_BYTES = 256
 
 
 class _Envelope(msgspec.Struct, array_like=True):
@@ -76,8 +77,10 @@
         """
         try:
             envelope = msgspec.msgpack.decode(data, type=_Envelope)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, ValueError, RecursionError) as error:
             raise PeerRefusedError("malformed envelope") from error
+        if len(envelope.context) > MAX_CONTEXT_BYTES:
+            raise PeerRefusedError(f"the context exceeds {MAX_CONTEXT_BYTES} bytes")
         key = self._key_by_id.get(envelope.key_id)
         if key is None:
             raise PeerRefusedError("unknown key id")
