Decode the store's lists item by item, so that one hides no other

Seen by callers: after another writer had left one entry that was nested 100,000 deep, not UTF-8, without a name or with an odd revision, machines ended or went on with the list of before; endpoints that came or left later were not seen.

Cause: a page was decoded as a whole, and skipping a nested part recurses, too.

Change: a page keeps its items as raw JSON, and each is decoded by itself. An item that cannot be read has an empty value at the revision of the page, which names no endpoint, and is logged ("unreadable objects in the store", bounded); one without a usable name is left out. An item that is no JSON still makes the whole page malformed.

--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -2,22 +2,175 @@
 
 import contextlib
 import json
+from collections.abc import AsyncIterator
 
 import msgspec
 import pynng
 import pytest
-from adapter import PlatformDialect
+from adapter import PlatformDialect, PlatformStoreDialect
 from hypothesis import given
 from hypothesis import strategies as st
+from ragwortpaddle_standins.relay_platform import Service
 from ragwortpaddled.errors import ObjectsError, PeerRefusedError
 from ragwortpaddled.protocol import StoredObject, decode_json, decode_message
-from ragwortpaddled.transport import KeyRing, PeerClient, PeerServer
+from ragwortpaddled.transport import HttpReply, KeyRing, PeerClient, PeerServer
 from ragwortpaddled.transport._peer_socket import MAX_CONCURRENT_REQUESTS
+from relay_fleet import RelayTestBed
 
 DIALECT = PlatformDialect()
+STORE = PlatformStoreDialect()
 DEPTH = 100_000
 NESTED = b"[" * DEPTH + b"]" * DEPTH
 MIXED_NESTED = b'{"a":[' * DEPTH + b"]}" * DEPTH
+DIGITS = "9" * 400
+
+
+def entry(**fields: str) -> bytes:
+    """Return an endpoint's entry, with the JSON text of some fields replaced."""
+    texts = {
+        "service": '"desk"',
+        "address": '"127.0.0.1:9"',
+        "zone": '"dc-a"',
+        "slots": "6",
+        "state": '"ready"',
+        "born": "1",
+        **fields,
+    }
+    return ("{" + ",".join(f'"{name}":{text}' for name, text in texts.items()) + "}").encode()
+
+
+NESTED_ENTRIES = {
+    "nested": NESTED,
+    "nested objects": MIXED_NESTED,
+    "nested in an unknown field": entry(novelty=NESTED.decode()),
+    "not UTF-8": entry(zone='"?"').replace(b"?", b"\xff"),
+}
+
+
+def reply(body: bytes) -> HttpReply:
+    return HttpReply(200, (), body)
+
+
+def item(name: bytes, spec: bytes, revision: bytes = b"4") -> bytes:
+    return b'{"metadata":{"name":%s,"revision":%s},"spec":%s}' % (name, revision, spec)
+
+
+def page(*items: bytes) -> bytes:
+    return b'{"items":[' + b",".join(items) + b'],"hasMore":true,"storeRevision":9}'
+
+
+def events(*items: bytes) -> bytes:
+    changes = b",".join(b'{"removed":false,"object":%s}' % item for item in items)
+    return b'{"events":[' + changes + b'],"storeRevision":9}'
+
+
+@pytest.fixture
+async def testbed(tmp_path) -> AsyncIterator[RelayTestBed]:
+    async with RelayTestBed(tmp_path) as testbed:
+        yield testbed
+
+
+async def check_that_the_list_is_followed(testbed: RelayTestBed) -> None:
+    """Check that a later entry is used, and that the odd one is not."""
+    late = Service(testbed.store, "late", "desk", "dc-a")
+    testbed.desks.append(late)
+    await late.start()
+    entry_by_id = testbed.daemon._relay_directory.entry_by_id
+    await testbed.wait(lambda: "late" in entry_by_id, "entry of the late service")
+    assert "odd" not in entry_by_id
+    for number in range(6):
+        head, _ = await testbed.ask(b"GET", b"/look/7", b"a%d" % number)
+        assert head.status == 200
+
+
+class TestNestedEntries:
+    @pytest.mark.parametrize("kind", NESTED_ENTRIES)
+    async def test_entry_that_appears_does_not_stop_the_watch(
+        self, testbed: RelayTestBed, kind: str
+    ) -> None:
+        testbed.store.put("servers", "odd", msgspec.Raw(NESTED_ENTRIES[kind]))
+        await check_that_the_list_is_followed(testbed)
+
+    @pytest.mark.parametrize("kind", NESTED_ENTRIES)
+    async def test_entry_that_is_there_at_the_start_does_not_hide_the_others(
+        self, tmp_path, kind: str
+    ) -> None:
+        testbed = RelayTestBed(tmp_path)
+        testbed.store.put("servers", "odd", msgspec.Raw(NESTED_ENTRIES[kind]))
+        async with testbed:
+            await check_that_the_list_is_followed(testbed)
+
+    async def test_other_nested_objects_do_not_stop_a_daemon(self, tmp_path) -> None:
+        testbed = RelayTestBed(tmp_path)
+        for kind in ("config", "daemons", "quarantines"):
+            testbed.store.put(kind, "odd", msgspec.Raw(NESTED))
+        testbed.store.put("placements", "model", msgspec.Raw(NESTED))
+        async with testbed:
+            await check_that_the_list_is_followed(testbed)
+            assert (await testbed.ask(b"POST", b"/ask/1"))[0].status == 200
+            assert not testbed.daemon._stop_requested.is_set()
+
+
+class TestPages:
+    """One unreadable object of a response; the others hold."""
+
+    ODD_ITEMS = (
+        item(b'"odd"', NESTED),
+        item(b'"odd"', MIXED_NESTED),
+        item(b'"odd"', b'"\xff"'),
+        item(b'"odd"', b"{}", b'"x"'),
+        item(b'"odd"', b"{}", b"-1"),
+        item(b'"odd"', b"{}", DIGITS.encode()),
+        item(b"7", b"{}"),
+        item(b'""', b"{}"),
+        item(b'"' + b"n" * 5000 + b'"', b"{}"),
+        item(b'"\xff"', b"{}"),
+        item(NESTED, NESTED),
+        b'{"spec":{}}',
+        b"null",
+        NESTED,
+    )
+
+    @pytest.mark.parametrize("number", range(len(ODD_ITEMS)))
+    def test_objects_beside_an_unreadable_one_are_listed(self, number: int) -> None:
+        good = [item(b'"e1"', b'{"a":"[\\"{"}'), item(b'"e2"', b"{}", b"5")]
+        body = page(good[0], self.ODD_ITEMS[number], good[1])
+        listed = STORE.decode_list("servers/", reply(body))
+        value_by_key = {stored.key: stored.value for stored in listed.objects}
+        assert value_by_key.pop("servers/odd", "") == ""
+        assert value_by_key == {"servers/e1": '{"a":"[\\"{"}', "servers/e2": "{}"}
+        assert listed.continue_after == "servers/e2"
+        assert len(listed.unreadable) == 1
+        assert len(listed.unreadable[0]) < 1000
+
+    @pytest.mark.parametrize("number", range(len(ODD_ITEMS)))
+    def test_changes_beside_an_unreadable_one_are_seen(self, number: int) -> None:
+        body = events(self.ODD_ITEMS[number], item(b'"e1"', b"{}"))
+        changes = STORE.decode_changes("servers/", reply(body))
+        assert StoredObject("servers/e1", 4, "{}") in changes.objects
+        assert len(changes.unreadable) == 1
+
+    def test_deletion_of_an_unreadable_object_is_seen(self) -> None:
+        event = b'{"removed":true,"object":%s}' % item(b'"e1"', NESTED, b'"x"')
+        body = b'{"events":[%s],"storeRevision":9}' % event
+        assert STORE.decode_changes("servers/", reply(body)).removed == ["servers/e1"]
+
+    def test_page_without_any_name_is_refused_if_there_are_more(self) -> None:
+        with pytest.raises(ObjectsError):
+            STORE.decode_list("servers/", reply(page(b"null")))
+
+    @given(st.binary())
+    def test_any_bytes_are_decoded_or_refused(self, data: bytes) -> None:
+        for body in (data, page(data), events(data), page(item(data, data, data))):
+            for decode in (STORE.decode_list, STORE.decode_changes, STORE.decode_object):
+                try:
+                    decode("servers/", reply(body))
+                except ObjectsError as error:
+                    assert str(error)
+
+    @pytest.mark.parametrize("era", [b"9" * 400, b"9" * 5000, b"8192", b"-1", b"", b"x"])
+    def test_odd_era_counts_as_absent(self, era: bytes) -> None:
+        assert STORE.decode_era(HttpReply(200, ((b"store-era", era),), b"")) is None
 
 
 class TestDecoders:
