Check the ranges of values from other programs where they arrive

Seen by callers: connections were reset, or a stream found no path, after another writer had left an entry with an odd port, slots, born or layers; with layers or quarantines of 400 digits nothing was served. Seen by operators: a handler or a background task that ended with OverflowError or ValueError, and with the task the daemon.

Cause: types were checked, but not values. An address became a port by int() inside connect(), whose callers expect OSError; integers of 400 digits convert neither to float nor to a length.

Change: an endpoint's entry has an IPv4 address with a port from 1 to 65535, 1 to 100,000 slots, layers up to 10,000 in order, a whole non-negative start that JSON keeps exactly, names of up to 256 characters, and an id that fits into a header; otherwise it is treated as absent. An empty layer range still means no layers yet. Reports, peers' messages, plans, leases, quarantines and daemons' entries have ranges, too. connect(), Http1Client and PeerClient raise their own errors for an address that cannot be used.

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_crash_tracker.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_crash_tracker.py
@@ -22,6 +22,7 @@
     CrashReport,
     EndpointEntry,
     PlatformClient,
+    Quantity,
     decode_json,
     era_of,
 )
@@ -51,7 +52,7 @@
 class _StoredQuarantine(msgspec.Struct, frozen=True):
     """The crash records behind a quarantine; ``saved_at`` is in seconds since the epoch."""
 
-    saved_at: float
+    saved_at: Quantity
     crashes: list[CrashReport]
 
     def current_reports(self) -> list[CrashReport]:
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_layer_placer.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_layer_placer.py
@@ -6,6 +6,7 @@
 import asyncio
 import logging
 import time
+from typing import Annotated
 
 import msgspec
 
@@ -23,9 +24,11 @@
     Dialect,
     EndpointEntry,
     LayeredModel,
+    LayerIndex,
     LayerRange,
     PlacementOrder,
     PlatformClient,
+    Version,
     decode_json,
 )
 from ragwortpaddled.state import Chain, Engine, Stage, repair_chains
@@ -51,13 +54,17 @@
 
 class _StageValue(msgspec.Struct, frozen=True):
     engine: str
-    first: int
-    end: int
+    first: LayerIndex
+    end: LayerIndex
+
+    def __post_init__(self) -> None:
+        if self.first >= self.end:
+            raise ValueError(f"layers {self.first}-{self.end} are empty")
 
 
 class _PlanValue(msgspec.Struct, frozen=True):
-    fencing: int
-    chains: list[list[_StageValue]]
+    fencing: Version
+    chains: list[Annotated[list[_StageValue], msgspec.Meta(min_length=1)]]
 
 
 class LayerPlacer:
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_lease.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_lease.py
@@ -24,7 +24,9 @@
 )
 from ragwortpaddled.protocol import (
     ABSENT_VERSION,
+    Count,
     PlatformClient,
+    Version,
     decode_json,
     era_of,
     make_version,
@@ -41,8 +43,8 @@
     """The stored lease; ``beat`` makes every renewal a change that other daemons can see."""
 
     holder: str
-    fencing: int
-    beat: int
+    fencing: Version
+    beat: Count
 
 
 def boot_time() -> float:
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_peers.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_peers.py
@@ -11,6 +11,7 @@
 import secrets
 import time
 from collections.abc import Awaitable, Callable
+from ipaddress import ip_address
 
 import msgspec
 
@@ -38,7 +39,7 @@
     era_of,
 )
 from ragwortpaddled.state import PoolRetryBudget
-from ragwortpaddled.transport import KeyRing, PeerServer
+from ragwortpaddled.transport import KeyRing, PeerServer, parse_address
 
 DAEMONS_PREFIX = "daemons/"
 PEER_KEY_OBJECT = "keys/peers"
@@ -60,6 +61,10 @@
 class _DaemonEntry(msgspec.Struct, frozen=True):
     address: str
 
+    def __post_init__(self) -> None:
+        host, _ = parse_address(self.address)
+        ip_address(host.strip("[]"))
+
 
 class RelayPeers:
     """Gossip with the other relay daemons."""
--- a/packages/ragwortpaddled/src/ragwortpaddled/protocol/__init__.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/__init__.py
@@ -87,6 +87,7 @@
     VmListing,
     encode_value,
 )
+from ragwortpaddled.protocol._ranges import Count, LayerIndex, Quantity, Slots
 from ragwortpaddled.protocol._refusal import (
     EXECUTED_HEADER,
     REQUEST_ID_HEADER,
@@ -152,6 +153,7 @@
     "CommitChanges",
     "Completion",
     "CompletionEncoder",
+    "Count",
     "CrashEvidence",
     "CrashReport",
     "Delta",
@@ -174,6 +176,7 @@
     "Hop",
     "Intent",
     "KeepRecord",
+    "LayerIndex",
     "LayerRange",
     "LayeredModel",
     "LoadReport",
@@ -194,6 +197,7 @@
     "PlacementOrder",
     "PlatformClient",
     "PublishedLoad",
+    "Quantity",
     "Quarantine",
     "Refusal",
     "RelayConfig",
@@ -210,6 +214,7 @@
     "ServiceCall",
     "ServiceClient",
     "Signal",
+    "Slots",
     "Step",
     "StepResult",
     "StoreDialect",
--- a/packages/ragwortpaddled/src/ragwortpaddled/protocol/_peers.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/_peers.py
@@ -7,6 +7,8 @@
 from ragwortpaddled.protocol._json import shorten
 from ragwortpaddled.protocol._operations import Change, ChangeResult, OperationRecord
 from ragwortpaddled.protocol._platform import ObjectChange
+from ragwortpaddled.protocol._ranges import Count, Quantity
+from ragwortpaddled.protocol._store_version import Version
 
 
 class Digest(msgspec.Struct, frozen=True, tag="digest"):
@@ -81,7 +83,7 @@
     """
 
     key: str
-    age_ms: int
+    age_ms: Count
     requests: dict[str, list[str]] = {}
     innocent: list[str] = []
     known: list[str] = []
@@ -96,20 +98,20 @@
     """
 
     name: str
-    config_version: int
-    running: dict[str, int]
+    config_version: Count
+    running: dict[str, Count]
     places_layers: bool = False
     suspects: list[str] = []
-    link_bits: list[tuple[list[str], float]] = []
+    link_bits: list[tuple[list[str], Quantity]] = []
     endpoints_after: int = 0
-    requests_by_pool: dict[str, int] = {}
-    crash_digest: int = 0
+    requests_by_pool: dict[str, Count] = {}
+    crash_digest: Count = 0
     crashes: list[CrashReport] = []
     # Milliseconds since the last answer and requests a second, None after the end of a limit.
-    request_limits: dict[str, tuple[int, float | None]] = {}
-    fencing_token: int = 0  # the highest that the daemon knows of
+    request_limits: dict[str, tuple[Count, Quantity | None]] = {}
+    fencing_token: Version = 0  # the highest that the daemon knows of
     # Incarnation and store era of endpoints that left before a recent restore of the store.
-    departures: dict[str, tuple[int, int]] = {}
+    departures: dict[str, tuple[Count, Count]] = {}
 
 
 class RelayNewsReply(msgspec.Struct, frozen=True, tag="relay_news_reply"):
--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/__init__.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/__init__.py
@@ -7,6 +7,7 @@
 from importlib import import_module
 from typing import TYPE_CHECKING, Any
 
+from ragwortpaddled.transport._address import parse_address
 from ragwortpaddled.transport._http1_client import (
     Http1Client,
     Http1Connection,
@@ -46,6 +47,7 @@
     "Responder",
     "ResponseHead",
     "ServerRequest",
+    "parse_address",
 ]
 
 _MODULE_BY_NAME = {"HttpClient": "_http_client", "HttpServer": "_http_server"}
--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_byte_stream.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_byte_stream.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+from ragwortpaddled.transport._address import parse_address
 from ragwortpaddled.transport._socket_options import set_options
 
 MAX_UNREAD_BYTES = 256 * 1024  # bounds the memory per client on a VM with 300 MB
@@ -112,8 +113,11 @@
 
 
 async def connect(address: str) -> ByteStream:
-    """Open a connection to ``ip:port``; raises ``OSError`` if that fails."""
-    host, _, port = address.rpartition(":")
+    """Open a connection to ``host:port``; raises ``OSError`` if that fails."""
     loop = asyncio.get_running_loop()
-    _, stream = await loop.create_connection(ByteStream, host, int(port))
+    try:
+        host, port = parse_address(address)
+        _, stream = await loop.create_connection(ByteStream, host, port)
+    except ValueError as error:  # also from a host that cannot be encoded
+        raise OSError(f"invalid address: {error}") from error
     return stream
--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_client.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_client.py
@@ -217,9 +217,13 @@
         fresh_connection: bool = False,
     ) -> HttpReply:
         """Send a request and return its reply; see ``HttpExchange.exchange``."""
-        parts = urlsplit(url)
+        try:
+            parts = urlsplit(url)
+            host = parts.netloc.encode()
+        except ValueError as error:
+            raise NotSentError(f"invalid URL: {error}") from error
         target = f"{parts.path or '/'}?{parts.query}" if parts.query else parts.path or "/"
-        sent_headers = [(b"Host", parts.netloc.encode()), *headers]
+        sent_headers = [(b"Host", host), *headers]
         if body:
             sent_headers.append((b"Content-Type", content_type))
         if body or method not in ("GET", "DELETE"):
--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_peer_socket.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_peer_socket.py
@@ -84,7 +84,10 @@
 
 
 class PeerClient:
-    """A client of one other daemon."""
+    """A client of one other daemon.
+
+    :raises NotSentError: the address is invalid
+    """
 
     def __init__(self, address: str, keys: KeyRing) -> None:
         self.address = address
@@ -95,7 +98,11 @@
             reconnect_time_min=RECONNECT_MIN_MS,
             reconnect_time_max=RECONNECT_MAX_MS,
         )
-        self._socket.dial(f"tcp://{address}", block=False)
+        try:
+            self._socket.dial(f"tcp://{address}", block=False)
+        except (pynng.NNGException, ValueError) as error:
+            self._socket.close()
+            raise NotSentError(f"invalid address: {error!r}") from error
 
     async def request(self, body: bytes, timeout_seconds: float) -> bytes:
         """Send a request and return its reply.
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -11,9 +11,16 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from ragwortpaddle_standins.relay_platform import Service
-from ragwortpaddled.errors import ObjectsError, PeerRefusedError
+from ragwortpaddled.errors import NotSentError, ObjectsError, PeerRefusedError
 from ragwortpaddled.protocol import StoredObject, decode_json, decode_message
-from ragwortpaddled.transport import HttpReply, KeyRing, PeerClient, PeerServer
+from ragwortpaddled.transport import (
+    Http1Client,
+    Http1Pool,
+    HttpReply,
+    KeyRing,
+    PeerClient,
+    PeerServer,
+)
 from ragwortpaddled.transport._peer_socket import MAX_CONCURRENT_REQUESTS
 from relay_fleet import RelayTestBed
 
@@ -237,3 +244,125 @@
         assert await client.request(b"body", 1.0) == b"body"
         client.close()
         await server.close()
+
+
+ODD_ENTRIES = {
+    "port 99999": entry(address='"127.0.0.1:99999"'),
+    "port 0": entry(address='"127.0.0.1:0"'),
+    "port -1": entry(address='"127.0.0.1:-1"'),
+    "no port": entry(address='"127.0.0.1"'),
+    "port in words": entry(address='"127.0.0.1:http"'),
+    "port with 400 digits": entry(address=f'"127.0.0.1:{DIGITS}"'),
+    "port in other digits": entry(address='"127.0.0.1:٨٠"'),
+    "no host": entry(address='":80"'),
+    "host in words": entry(address='"any where:80"'),
+    "bracket": entry(address='"[127.0.0.1:80"'),
+    "slots with 400 digits": entry(slots=DIGITS),
+    "slots -1": entry(slots="-1"),
+    "slots 0": entry(slots="0"),
+    "born with 400 digits": entry(born=DIGITS),
+    "born -1": entry(born="-1"),
+    "layers with 400 digits": entry(layers=f'{{"from":0,"target":{DIGITS}}}'),
+    "first layer with 400 digits": entry(layers=f'{{"from":{DIGITS},"target":8}}'),
+    "layers from -1": entry(layers='{"from":-1,"target":8}'),
+    "layers reversed": entry(layers='{"from":8,"target":1}'),
+    "long service": entry(service='"' + "s" * 100_000 + '"'),
+    "state in words": entry(state='"' + "s" * 100_000 + '"'),
+    "no entry": b"null",
+}
+
+
+class TestValuesOutOfRange:
+    @pytest.mark.parametrize("kind", ODD_ENTRIES)
+    def test_entry_is_refused_with_a_bounded_reason(self, kind: str) -> None:
+        with pytest.raises(ObjectsError) as caught:
+            DIALECT.decode_endpoint(StoredObject("servers/odd", 1, ODD_ENTRIES[kind].decode()))
+        assert len(str(caught.value)) < 1000
+
+    @pytest.mark.parametrize("endpoint_id", ["a\nb", " a", "a ", "a\x00"])
+    def test_id_that_does_not_fit_into_a_header_is_refused(self, endpoint_id: str) -> None:
+        with pytest.raises(ObjectsError):
+            DIALECT.decode_endpoint(StoredObject(f"servers/{endpoint_id}", 1, entry().decode()))
+
+    def test_entry_without_layers_yet_is_usable(self) -> None:
+        value = entry(layers='{"from":0,"target":0}').decode()
+        assert DIALECT.decode_endpoint(StoredObject("servers/e", 1, value)).layers is None
+
+    @pytest.mark.parametrize("kind", ODD_ENTRIES)
+    async def test_entry_that_appears_does_not_stop_the_watch(
+        self, testbed: RelayTestBed, kind: str
+    ) -> None:
+        testbed.store.put("servers", "odd", msgspec.Raw(ODD_ENTRIES[kind]))
+        await check_that_the_list_is_followed(testbed)
+
+    async def test_entries_that_are_there_at_the_start_do_not_hide_the_others(
+        self, tmp_path
+    ) -> None:
+        testbed = RelayTestBed(tmp_path)
+        for number, value in enumerate(ODD_ENTRIES.values()):
+            testbed.store.put("servers", f"odd-{number}", msgspec.Raw(value))
+        async with testbed:
+            await check_that_the_list_is_followed(testbed)
+            assert not any("odd" in e for e in testbed.daemon._relay_directory.entry_by_id)
+
+    async def test_other_objects_out_of_range_do_not_stop_a_daemon(self, tmp_path) -> None:
+        testbed = RelayTestBed(tmp_path)
+        crash = '{"key":"e/1","age_ms":%s}'
+        for name, value in {
+            "age": '{"saved_at":1,"crashes":[%s]}' % (crash % DIGITS),
+            "time": '{"saved_at":1e308,"crashes":[%s]}' % (crash % "1"),
+        }.items():
+            testbed.store.put("quarantines", name, msgspec.Raw(value.encode()))
+        plan = '{"fencing":1,"chains":[[],[{"engine":"e","first":7,"end":2}]]}'
+        testbed.store.put("placements", "model", msgspec.Raw(plan.encode()))
+        for number, address in enumerate(["127.0.0.1:99999", "", "a b:1:", "[:1"]):
+            testbed.store.put("daemons", f"odd-{number}", {"address": address})
+        async with testbed:
+            await check_that_the_list_is_followed(testbed)
+            assert (await testbed.ask(b"POST", b"/ask/1"))[0].status == 200
+            assert not testbed.daemon._stop_requested.is_set()
+            assert not any("odd" in name for name in testbed.daemon._peers._address_by_name)
+
+    @pytest.mark.parametrize(
+        "report",
+        [
+            b'{"running":-1}',
+            b'{"seq":%s}' % DIGITS.encode(),
+            b'{"waiting":%s}' % DIGITS.encode(),
+            b'{"kvUsed":1e308}',
+            b'{"pace":-1}',
+            b'{"layers":{"from":0,"target":%s}}' % DIGITS.encode(),
+        ],
+    )
+    def test_report_is_refused(self, report: bytes) -> None:
+        with pytest.raises(ObjectsError):
+            DIALECT.decode_report(report)
+
+    @pytest.mark.parametrize(
+        "fields",
+        [
+            {"running": {"e": -1}},
+            {"link_bits": [(["a", "b"], float("nan"))]},
+            {"request_limits": {"e": (0, float("inf"))}},
+            {"fencing_token": 2**60},
+            {"departures": {"e": (1, 2**60)}},
+            {"crashes": [{"key": "e/1", "age_ms": -1}]},
+        ],
+    )
+    def test_peer_message_is_refused(self, fields: dict) -> None:
+        message = {"type": "relay_news", "name": "n", "config_version": 1, "running": {}, **fields}
+        with pytest.raises(PeerRefusedError):
+            decode_message(msgspec.msgpack.encode(message))
+
+    @pytest.mark.parametrize(
+        "address", ["h:99999", "h:-1", "h:0", "h", "h:" + DIGITS, "a\0b:80", "\ud800:80", "", "[:1"]
+    )
+    async def test_connection_to_an_odd_address_is_not_sent(self, address: str) -> None:
+        with pytest.raises(NotSentError):
+            await Http1Pool().acquire(address)
+        with pytest.raises(NotSentError):
+            await Http1Client().exchange("GET", f"http://{address}/", timeout_seconds=0.5)
+        keys = KeyRing()
+        keys.load("a b1")
+        with pytest.raises(NotSentError):
+            await PeerClient(address, keys).request(b"", 0.5)
