--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay.py
@@ -104,7 +104,10 @@
 
     def _match_route(self, request: ServerRequest) -> PathRoute:
         host = (request.header(b"host") or b"").decode("latin-1").partition(":")[0]
-        path = urlsplit(request.target.decode("latin-1")).path
+        try:
+            path = urlsplit(request.target.decode("latin-1")).path
+        except ValueError as error:
+            raise RefusedError(400, "malformed request target") from error
         route = self._relay_directory.routes.match(host, path)
         if route is None:
             raise RefusedError(404, "no route matches the request's host and path")
