Refuse a configuration whose numbers cannot be used

Seen by callers: each request of a route whose weights added up to 0 or less, or not to a finite number, had its connection reset (ValueError from random.choices). A layer count of 400 digits raised OverflowError in the decoder and ended the daemon.

--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -10,7 +10,7 @@
 from adapter import PlatformDialect, PlatformStoreDialect
 from hypothesis import given
 from hypothesis import strategies as st
-from ragwortpaddle_standins.relay_platform import API_KEY, HOST, Service
+from ragwortpaddle_standins.relay_platform import API_KEY, HOST, Service, configuration
 from ragwortpaddled.errors import NotSentError, ObjectsError, PeerRefusedError
 from ragwortpaddled.protocol import StoredObject, decode_json, decode_message
 from ragwortpaddled.transport import (
@@ -421,3 +421,44 @@
         assert 0 <= metadata.prompt_tokens <= 10**9
         assert 0 <= metadata.expected_answer_tokens <= 10**9
         assert metadata.deadline_ms is None or 0 <= metadata.deadline_ms <= 10**9
+
+
+def split(*weights: float) -> list[dict]:
+    """Return the routes of a configuration whose route to pool "desk" has a traffic split."""
+    routes = configuration()["routes"]
+    look = next(route for route in routes if route["name"] == "look")
+    look["trafficSplit"] = [
+        {"service": "desk" if number == 0 else f"desk-{number}", "weight": weight}
+        for number, weight in enumerate(weights)
+    ]
+    return routes
+
+
+class TestConfigurations:
+    @pytest.mark.parametrize(
+        "weights",
+        [(0,), (0, 0), (-1, 0.5), (-1,), (1e308, 1e308)],
+        ids=lambda weights: str(weights),
+    )
+    async def test_configuration_without_usable_weights_is_not_applied(
+        self, testbed: RelayTestBed, weights: tuple[float, ...]
+    ) -> None:
+        directory = testbed.daemon._relay_directory
+        testbed.store.put("config", "main", configuration(2, routes=split(*weights)))
+        marker = Service(testbed.store, "marker", "desk", "dc-a")
+        testbed.desks.append(marker)
+        await marker.start()
+        await testbed.wait(lambda: "marker" in directory.entry_by_id, "entry of the marker")
+        assert (await testbed.ask(b"GET", b"/look/7"))[0].status == 200
+        assert directory.config.version == 1
+        testbed.store.put("config", "main", configuration(3, routes=split(2, 0)))
+        await testbed.wait(lambda: directory.config.version == 3, "the next configuration")
+        assert (await testbed.ask(b"GET", b"/look/7"))[0].status == 200
+
+    @pytest.mark.parametrize("field", ["layers", "slots", "stride", "kvTokenBytes", "version"])
+    def test_number_out_of_range_is_refused(self, field: str) -> None:
+        value = configuration()
+        target = value if field == "version" else value["services"][0]["engine"]
+        target[field] = 10**400
+        with pytest.raises(ObjectsError):
+            DIALECT.decode_config(StoredObject("config/main", 1, json.dumps(value)))
