Run a background task again when it fails, instead of ending the daemon

Seen by callers: their requests were cut and the VM gone, and again after each restart, while the value that had caused an unexpected error was still there. Seen by operators: "background task failed, shutting down"; a failure of the watcher of the daemons' entries was not logged until the task was collected, and later peers were not found.

Cause: a task that failed stopped the process, so one fault in one task took all service with it, on all VMs at once if its cause was shared. The watcher of the daemons' entries ran in a task that nobody awaited.

Change: the failure is logged with its traceback and counted, and the task runs again after 1 s. A watcher lists anew, so it loses no change; the peer server stays bound; the daemons' watcher belongs to the gossip's task group and fails with it.

--- a/packages/ragwortpaddled/src/ragwortpaddled/_relay_daemon.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/_relay_daemon.py
@@ -37,13 +37,14 @@
 DRAIN_POLL_SECONDS = 0.05
 SHUTDOWN_MARGIN_SECONDS = 1.2  # of the grace period, reserved for closing connections
 CLOSE_TIMEOUT_SECONDS = 0.5
+TASK_RESTART_SECONDS = 1.0
 SETTINGS_POLL_SECONDS = 2.0  # the file may change without a SIGHUP
 
 logger = logging.getLogger(__name__)
 
 
 class RelayDaemon:
-    """Runs the relay until SIGTERM or SIGINT, or until a background task fails."""
+    """Runs the relay until SIGTERM or SIGINT."""
 
     def __init__(
         self, settings: RelaySettings, path: Path, dialect: Dialect, store_dialect: StoreDialect
@@ -156,12 +157,18 @@
         self._tasks.append(asyncio.create_task(self._run_task(task_function)))
 
     async def _run_task(self, task_function: Callable[[], Coroutine[Any, Any, None]]) -> None:
-        """Run a background task; stop the daemon if it fails, since callers rely on all tasks."""
-        try:
-            await task_function()
-        except Exception:
-            logger.exception("background task failed, shutting down")
-            self._stop_requested.set()
+        """Run a background task; if it fails, run it again, since callers rely on all tasks."""
+        name = getattr(task_function, "__qualname__", "")
+        while True:
+            try:
+                await task_function()
+                return
+            except Exception:
+                logger.exception(
+                    "background task failed, restarting", extra={"fields": {"task": name}}
+                )
+                telemetry.background_task_failures.add(1, {"task": name})
+            await asyncio.sleep(TASK_RESTART_SECONDS)
 
     async def shutdown(self) -> None:
         """Drain requests in flight within the grace period, then close everything."""
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_peers.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_peers.py
@@ -117,25 +117,30 @@
         return self._reachable
 
     async def run(self) -> None:
-        """Register this daemon, then gossip for the life of the daemon."""
+        """Register this daemon, then gossip for the life of the daemon.
+
+        May be called again after a failure; the peer server goes on meanwhile.
+        """
         await self._retry(self._load_key)
-        self._server = PeerServer(self._listen, self._keys, self._handle_message)
-        self._server.start()
-        self._address = self._server.address
+        if self._server is None:
+            self._server = PeerServer(self._listen, self._keys, self._handle_message)
+            self._server.start()
+            self._address = self._server.address
         await self._retry(self._register)
         self._joined_era = era_of(self._entry_version)
-        watcher_task = asyncio.create_task(self._object_watcher.run())
-        try:
-            while True:
-                await asyncio.sleep(GOSSIP_INTERVAL_SECONDS * self._random.uniform(0.8, 1.2))
-                self._relay_directory.set_watch_pause(
-                    self._relay_directory.loads.daemon_count,
-                    immediate=self._layer_placer.holds_lease,
-                )
-                self._rejoin_after_restore()
-                self._start_gossip_round()
-        finally:
-            watcher_task.cancel()
+        async with asyncio.TaskGroup() as task_group:
+            task_group.create_task(self._object_watcher.run())
+            await self._gossip()
+
+    async def _gossip(self) -> None:
+        while True:
+            await asyncio.sleep(GOSSIP_INTERVAL_SECONDS * self._random.uniform(0.8, 1.2))
+            self._relay_directory.set_watch_pause(
+                self._relay_directory.loads.daemon_count,
+                immediate=self._layer_placer.holds_lease,
+            )
+            self._rejoin_after_restore()
+            self._start_gossip_round()
 
     async def close(self) -> None:
         """Remove this daemon's entry from the store and close the connections."""
--- a/packages/ragwortpaddled/src/ragwortpaddled/telemetry.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/telemetry.py
@@ -47,6 +47,10 @@
 dropped_log_lines = _meter.create_counter(
     "ragwortpaddle_dropped_log_lines", description="Log lines that a full queue could not take"
 )
+background_task_failures = _meter.create_counter(
+    "ragwortpaddle_background_task_failures",
+    description="Background tasks that failed and were run again, by task",
+)
 # Each boundary doubles the one before, from the response time of a nearby service (25 ms) to the
 # longest time that callers wait (25.6 s).
 LATENCY_BUCKETS_SECONDS = [0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8, 25.6]
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -2,7 +2,8 @@
 
 import contextlib
 import json
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
+from operator import attrgetter
 
 import msgspec
 import pynng
@@ -11,6 +12,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from ragwortpaddle_standins.relay_platform import API_KEY, HOST, Service, configuration
+from ragwortpaddled import telemetry
 from ragwortpaddled.errors import NotSentError, ObjectsError, PeerRefusedError
 from ragwortpaddled.protocol import StoredObject, decode_json, decode_message
 from ragwortpaddled.transport import (
@@ -22,7 +24,7 @@
     PeerServer,
 )
 from ragwortpaddled.transport._peer_socket import MAX_CONCURRENT_REQUESTS
-from relay_fleet import RelayTestBed
+from relay_fleet import RelayFleet, RelayTestBed
 
 DIALECT = PlatformDialect()
 STORE = PlatformStoreDialect()
@@ -462,3 +464,79 @@
         target[field] = 10**400
         with pytest.raises(ObjectsError):
             DIALECT.decode_config(StoredObject("config/main", 1, json.dumps(value)))
+
+
+class FailingOnce:
+    """Wraps a function; the first call raises an unexpected error."""
+
+    def __init__(self, function: Callable) -> None:
+        self.failed = False
+        self._function = function
+
+    def __call__(self, *args: object, **kwargs: object) -> object:
+        if not self.failed:
+            self.failed = True
+            raise ArithmeticError("injected fault")
+        return self._function(*args, **kwargs)
+
+
+class CountingMetric:
+    """Takes the place of a counter; keeps what was added."""
+
+    def __init__(self) -> None:
+        self.added: list[tuple[int, dict]] = []
+
+    def add(self, count: int, attributes: dict) -> None:
+        self.added.append((count, attributes))
+
+
+class TestBackgroundTasks:
+    FUNCTIONS = (
+        ("_relay_directory._endpoint_watcher", "_apply_changes"),
+        ("_relay_directory._config_watcher", "_record_response"),
+        ("_dispatcher", "dispatch_waiting"),
+        ("_endpoint_client.connections", "close_idle"),
+        ("_layer_placer", "_model_by_pool"),
+        ("_crash_tracker", "_update_active"),
+    )
+
+    @pytest.mark.parametrize(("owner", "name"), FUNCTIONS)
+    async def test_task_that_failed_runs_again(
+        self, testbed: RelayTestBed, monkeypatch, caplog, owner: str, name: str
+    ) -> None:
+        metric = CountingMetric()
+        monkeypatch.setattr(telemetry, "background_task_failures", metric, raising=False)
+        component = attrgetter(owner)(testbed.daemon)
+        failing = FailingOnce(getattr(component, name))
+        monkeypatch.setattr(component, name, failing)
+        testbed.store.put("config", "main", configuration(2))
+        testbed.desks[0].register()
+        await testbed.wait(lambda: failing.failed, "failure")
+        await check_that_the_list_is_followed(testbed)
+        directory = testbed.daemon._relay_directory
+        await testbed.wait(lambda: directory.config.version == 2, "configuration")
+        assert not testbed.daemon._stop_requested.is_set()
+        assert [count for count, _ in metric.added] == [1]
+        record = next(r for r in caplog.records if "background task failed" in r.getMessage())
+        assert record.getMessage() == "background task failed, restarting"
+        assert record.exc_info
+
+    @pytest.mark.parametrize(
+        ("owner", "name"),
+        [("_peers", "_start_gossip_round"), ("_peers._object_watcher", "_on_change")],
+    )
+    async def test_gossip_goes_on_after_a_failure(
+        self, tmp_path, monkeypatch, owner: str, name: str
+    ) -> None:
+        async with RelayFleet(RelayTestBed(tmp_path)) as fleet:
+            testbed = fleet.testbed
+            component = attrgetter(owner)(testbed.daemon)
+            failing = FailingOnce(getattr(component, name))
+            monkeypatch.setattr(component, name, failing)
+            address = testbed.daemon._peers._address
+            fleet.daemons.append(await testbed.start_daemon("entry-4", testbed.store.address))
+            await testbed.wait(lambda: failing.failed, "failure")
+            fleet.daemons.append(await testbed.start_daemon("entry-5", testbed.store.address))
+            await testbed.wait(lambda: "entry-5" in testbed.daemon.reachable_peers, "new peer")
+            assert testbed.daemon._peers._address == address
+            assert not testbed.daemon._stop_requested.is_set()
