Keep the settings in force when the file is not text

Seen by operators: while the settings file was not UTF-8, for instance while it was being written, the daemon logged "background task failed, shutting down" (UnicodeDecodeError) and ended; a SIGHUP left a traceback of the event loop.

Change: both ways of reading it treat such a file as unreadable, as read_ini does at the start.

Test, run on: test_file_that_is_not_text failed: the poll of the file raised UnicodeDecodeError, which stopped the daemon, and "settings file not readable" was not logged.

--- a/packages/ragwortpaddled/src/ragwortpaddled/_relay_daemon.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/_relay_daemon.py
@@ -222,7 +222,7 @@
                 logger.info("settings unchanged")
                 return
             settings = load_relay_settings(self._settings_path)
-        except (OSError, SettingsError) as error:
+        except (OSError, UnicodeDecodeError, SettingsError) as error:
             logger.warning("settings not reloaded", extra={"fields": {"reason": str(error)}})
             return
         self._settings_text = text
@@ -235,7 +235,7 @@
             await asyncio.sleep(SETTINGS_POLL_SECONDS)
             try:
                 changed = self._settings_path.read_text() != self._settings_text
-            except OSError as error:
+            except (OSError, UnicodeDecodeError) as error:
                 logger.warning(
                     "settings file not readable", extra={"fields": {"reason": str(error)}}
                 )
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import logging
 from collections.abc import AsyncIterator, Callable
 from operator import attrgetter
 
@@ -540,3 +541,20 @@
             await testbed.wait(lambda: "entry-5" in testbed.daemon.reachable_peers, "new peer")
             assert testbed.daemon._peers._address == address
             assert not testbed.daemon._stop_requested.is_set()
+
+
+class TestSettings:
+    async def test_file_that_is_not_text_leaves_the_settings_in_force(
+        self, testbed: RelayTestBed, caplog
+    ) -> None:
+        caplog.set_level(logging.INFO, "ragwortpaddled")  # also restores the level at the end
+        daemon = testbed.daemon
+        text = daemon._settings_path.read_text()
+        daemon._settings_path.write_bytes(b"[relay]\nname = \xff\n")
+        await testbed.wait(lambda: "settings file not readable" in caplog.messages, "log line")
+        daemon._reload_settings()
+        assert "settings not reloaded" in caplog.messages
+        daemon._settings_path.write_text(text + "[log]\nlevel = warning\n")
+        await testbed.wait(lambda: daemon._settings.log.level == "warning", "new settings")
+        assert not [record for record in caplog.records if record.exc_info]
+        assert (await testbed.ask(b"GET", b"/look/7"))[0].status == 200
