Close a connection from a caller in order, so that its response arrives

Callers saw responses cut off at a connection's end: the rest of a response to a slow reader was dropped when the server was draining or the caller had asked for Connection: close, and a 413 was destroyed by the reset that follows a close with unread bytes.

Causes: after a response with Connection: close the parser's state is MUST_CLOSE, which was taken for an incomplete response, and the connection was reset with its unsent bytes; a rejection was followed by a close while the caller was still sending.

Now a response counts as complete in MUST_CLOSE, too. The sending side is closed after the response, what still arrives is read and discarded (1 s beyond the last progress and 32 MB at most), then the connection is closed. An idle connection is still closed at once. A connection with unsent bytes counts as in flight, and a response with its whole body is handed to the socket in one step.

--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_byte_stream.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_byte_stream.py
@@ -83,16 +83,22 @@
             self._transport.resume_reading()
         return data
 
-    async def write(self, data: bytes) -> None:
+    async def write(self, *parts: bytes) -> None:
         """Send bytes, waiting while the send buffer is full.
 
         :raises ConnectionError: the connection is closed
         """
         if self._transport is None or self._transport.is_closing():
             raise ConnectionResetError("the connection is closed")
-        self._transport.write(data)
+        for part in parts:
+            self._transport.write(part)
         await self._writable.wait()
 
+    def end_writing(self) -> None:
+        """Close the sending side after all written bytes have been sent."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write_eof()
+
     def close(self) -> None:
         """Close the connection after all written bytes have been sent."""
         if self._transport is not None:
--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_server.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_server.py
@@ -17,6 +17,11 @@
 from ragwortpaddled.transport._http_messages import first_value
 
 LISTEN_BACKLOG = 1024  # connections of one burst; the kernel may lower it (net.core.somaxconn)
+# A close with unread bytes resets the connection, which destroys a response on its way to the
+# caller. So bytes that still arrive after the response are read and discarded first.
+DISCARD_TIMEOUT_SECONDS = 1.0
+MAX_DISCARDED_BYTES = 32 * 1024 * 1024
+COMPLETE_STATES = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 
 logger = logging.getLogger(__name__)
 
@@ -60,23 +65,32 @@
     """Writes the response to one request."""
 
     def __init__(self, connection: "_ServerConnection") -> None:
-        self.started = False
         self._connection = connection
 
+    @property
+    def started(self) -> bool:
+        """Return whether any part of the response has been written."""
+        return self._connection.response_started
+
+    @property
+    def complete(self) -> bool:
+        """Return whether the whole response has been written."""
+        return self._connection.response_complete
+
     async def send(self, status: int, headers: RawHeaders, body: bytes) -> None:
         """Send a complete response; Content-Length is set from the body."""
         sized_headers = [(k, v) for k, v in headers if k.lower() != b"content-length"]
         sized_headers.append((b"Content-Length", str(len(body)).encode()))
-        await self.start(status, sized_headers)
-        await self.write(body)
-        await self.finish()
+        head = self._build_head(status, sized_headers)
+        # In one step, so that a response is either complete or has not started.
+        await self._connection.send(head, h11.Data(data=body), h11.EndOfMessage())
 
     async def start(self, status: int, headers: RawHeaders) -> None:
         """Send the status and the headers; without a Content-Length the body is sent in chunks."""
-        self.started = True
-        await self._connection.send(
-            h11.Response(status_code=status, headers=self._connection.add_close_header(headers))
-        )
+        await self._connection.send(self._build_head(status, headers))
+
+    def _build_head(self, status: int, headers: RawHeaders) -> h11.Response:
+        return h11.Response(status_code=status, headers=self._connection.add_close_header(headers))
 
     async def write(self, data: bytes) -> None:
         """Send one part of the body."""
@@ -98,13 +112,25 @@
         self._server = server
         self._stream = stream
         self._has_request = False
+        self._closing = False
         max_header_bytes = server.limits().max_header_bytes
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=max_header_bytes)
 
     @property
     def idle(self) -> bool:
-        """Return whether no part of a request has arrived since the last response."""
-        return not self._has_request and not self._stream.unread_bytes
+        """Return whether every request that has arrived, in part or whole, is answered."""
+        if self._closing:
+            return not self._stream.unsent_bytes
+        unread_or_unsent = self._stream.unread_bytes or self._stream.unsent_bytes
+        return not self._has_request and not unread_or_unsent
+
+    @property
+    def response_started(self) -> bool:
+        return self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE)
+
+    @property
+    def response_complete(self) -> bool:
+        return self._http.our_state in COMPLETE_STATES
 
     def add_close_header(self, headers: RawHeaders) -> RawHeaders:
         """Add ``Connection: close`` while the server is draining."""
@@ -112,11 +138,13 @@
             return [*headers, (b"Connection", b"close")]
         return headers
 
-    async def send(self, event: h11.Event) -> None:
-        await self._stream.write(self._http.send(event) or b"")
+    async def send(self, *events: h11.Event) -> None:
+        await self._stream.write(*(self._http.send(event) or b"" for event in events))
 
-    def close(self) -> None:
-        self._stream.close()
+    def close_if_idle(self) -> None:
+        """Close the connection, unless a request has arrived or a response is on its way."""
+        if self.idle and not self._closing:
+            self._stream.close()
 
     def abort(self) -> None:
         self._stream.abort()
@@ -147,10 +175,12 @@
             return False
         finally:
             self._stream.on_disconnect = None
-        if self._http.our_state is not h11.DONE:
+        if not self.response_complete:
             self._stream.abort()
             return False
-        if self._server.draining or self._http.their_state is not h11.DONE:
+        states = (self._http.our_state, self._http.their_state)
+        if self._server.draining or states != (h11.DONE, h11.DONE):
+            await self._close_in_order()
             return False
         self._http.start_next_cycle()
         self._has_request = bool(self._http.trailing_data[0])
@@ -235,12 +265,39 @@
         body = str(error).encode()
         headers = [(b"Content-Length", str(len(body)).encode()), (b"Connection", b"close")]
         try:
-            await self.send(h11.Response(status_code=error.status, headers=headers))
-            await self.send(h11.Data(data=body))
-            await self.send(h11.EndOfMessage())
+            await self.send(
+                h11.Response(status_code=error.status, headers=headers),
+                h11.Data(data=body),
+                h11.EndOfMessage(),
+            )
         except (OSError, h11.ProtocolError):
             self._stream.abort()
             return
+        await self._close_in_order()
+
+    async def _close_in_order(self) -> None:
+        """Close the sending side, discard what still arrives, then close the connection."""
+        self._closing = True
+        self._stream.end_writing()
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + DISCARD_TIMEOUT_SECONDS
+        unsent_bytes = self._stream.unsent_bytes
+        discarded_bytes = 0
+        while discarded_bytes < MAX_DISCARDED_BYTES:
+            try:
+                async with asyncio.timeout_at(deadline):
+                    data = await self._stream.read()
+            except TimeoutError:
+                if not 0 < self._stream.unsent_bytes < unsent_bytes:
+                    break
+                unsent_bytes = self._stream.unsent_bytes
+                deadline = loop.time() + DISCARD_TIMEOUT_SECONDS
+                continue
+            except ConnectionError:
+                break
+            if not data:
+                break
+            discarded_bytes += len(data)
         self._stream.close()
 
 
@@ -283,8 +340,7 @@
         if self._server is not None:
             self._server.close()
         for connection in list(self._task_by_connection):
-            if connection.idle:
-                connection.close()
+            connection.close_if_idle()
 
     def abort(self) -> None:
         """Reset all connections."""
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -147,6 +147,83 @@
         assert b"connection: close" in response.lower()
 
 
+async def read_response(reader: asyncio.StreamReader) -> bytes:
+    """Read one response with a Content-Length; raises ``IncompleteReadError`` if it is cut off."""
+    async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+        head = await reader.readuntil(b"\r\n\r\n")
+        length = int(head.lower().partition(b"content-length:")[2].partition(b"\r\n")[0])
+        return head + await reader.readexactly(length)
+
+
+class TestCloseAfterResponse:
+    """A close that drops unsent bytes, or leaves bytes unread, destroys the response."""
+
+    @pytest.mark.parametrize("closed_by", ["draining server", "caller"])
+    async def test_response_to_a_slow_reader_is_complete(self, closed_by: str) -> None:
+        written = asyncio.Event()
+
+        async def fill_buffers(_: ServerRequest, responder: Responder) -> None:
+            await responder.start(200, [])
+            while not responder._connection._stream.unsent_bytes:
+                await responder.write(b"x" * 1000)
+            await responder.finish()
+            written.set()
+
+        http_server = Http1Server("127.0.0.1:0", fill_buffers)
+        await http_server.start()
+        http_server.draining = closed_by == "draining server"
+        option = b"Connection: close\r\n" if closed_by == "caller" else b""
+        host, _, port = http_server.address.rpartition(":")
+        # Without a reader, so that nothing is read before the whole response has been written.
+        connection = socket.create_connection((host, int(port)))
+        connection.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n" + option + b"\r\n")
+        async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+            await written.wait()
+        reader, writer = await asyncio.open_connection(sock=connection)
+        async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+            assert (await reader.read()).endswith(b"x\r\n0\r\n\r\n")
+        writer.close()
+        http_server.stop_accepting()
+        http_server.abort()
+
+    async def test_rejection_reaches_a_caller_that_is_still_sending(self, server) -> None:
+        """The rest of the body is still arriving when the server has rejected the request."""
+        _, address = server
+        host, _, port = address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9000000\r\n\r\n")
+        for _ in range(90):
+            writer.write(b"x" * 100_000)
+            await writer.drain()
+            await asyncio.sleep(0.001)
+        assert (await read_response(reader)).startswith(b"HTTP/1.1 413")
+        writer.close()
+
+    async def test_response_reaches_a_caller_that_sends_on_after_it(self, server) -> None:
+        http_server, address = server
+        http_server.draining = True
+        host, _, port = address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        request = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+        writer.write(request * 2)
+        await read_response(reader)
+        writer.write(request)
+        async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+            assert await reader.read() == b""  # an end, not a reset
+        writer.close()
+
+    async def test_caller_that_never_closes_does_not_keep_the_connection(self, server) -> None:
+        http_server, address = server
+        host, _, port = address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"not a request\r\n\r\n")
+        await read_response(reader)
+        async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+            while http_server._task_by_connection:
+                await asyncio.sleep(0.01)
+        writer.close()
+
+
 class TestPlannedStop:
     """Under load, requests arrive while the server stops accepting connections."""
 
