Answer HEAD, 204, 304 and CONNECT instead of resetting the caller

Callers saw their connection reset without an answer: after each refusal and each response with a body to a HEAD request, with the status 204 and 304, and after CONNECT.

Cause: h11 refuses a body where HTTP allows none (LocalProtocolError), and the server sent one always. After CONNECT with a success it waits for another protocol.

The body is left out there. Content-Length stays for a HEAD request whose response has a body, and is absent otherwise. CONNECT is rejected with 501, since no endpoint can be reached by it.

--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_server.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_server.py
@@ -21,6 +21,7 @@
 # caller. So bytes that still arrive after the response are read and discarded first.
 DISCARD_TIMEOUT_SECONDS = 1.0
 MAX_DISCARDED_BYTES = 32 * 1024 * 1024
+STATUSES_WITHOUT_BODY = (204, 304)
 COMPLETE_STATES = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 
 logger = logging.getLogger(__name__)
@@ -64,8 +65,9 @@
 class Responder:
     """Writes the response to one request."""
 
-    def __init__(self, connection: "_ServerConnection") -> None:
+    def __init__(self, connection: "_ServerConnection", method: bytes) -> None:
         self._connection = connection
+        self._is_head = method == b"HEAD"
 
     @property
     def started(self) -> bool:
@@ -78,12 +80,18 @@
         return self._connection.response_complete
 
     async def send(self, status: int, headers: RawHeaders, body: bytes) -> None:
-        """Send a complete response; Content-Length is set from the body."""
+        """Send a complete response; Content-Length is set from the body.
+
+        The body is left out where HTTP allows none: after HEAD, and with the status 204 or 304.
+        """
         sized_headers = [(k, v) for k, v in headers if k.lower() != b"content-length"]
-        sized_headers.append((b"Content-Length", str(len(body)).encode()))
+        has_body = not self._is_head and status not in STATUSES_WITHOUT_BODY
+        if has_body or (self._is_head and body):
+            sized_headers.append((b"Content-Length", str(len(body)).encode()))
         head = self._build_head(status, sized_headers)
+        data = h11.Data(data=body if has_body else b"")
         # In one step, so that a response is either complete or has not started.
-        await self._connection.send(head, h11.Data(data=body), h11.EndOfMessage())
+        await self._connection.send(head, data, h11.EndOfMessage())
 
     async def start(self, status: int, headers: RawHeaders) -> None:
         """Send the status and the headers; without a Content-Length the body is sent in chunks."""
@@ -112,6 +120,8 @@
         self._server = server
         self._stream = stream
         self._has_request = False
+        self._method = b""  # of the request that is being read or served
+        self._keeps_open = True
         self._closing = False
         max_header_bytes = server.limits().max_header_bytes
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=max_header_bytes)
@@ -133,8 +143,8 @@
         return self._http.our_state in COMPLETE_STATES
 
     def add_close_header(self, headers: RawHeaders) -> RawHeaders:
-        """Add ``Connection: close`` while the server is draining."""
-        if self._server.draining:
+        """Add ``Connection: close`` to the last response."""
+        if self._server.draining or not self._keeps_open:
             return [*headers, (b"Connection", b"close")]
         return headers
 
@@ -164,7 +174,8 @@
         request = await self._read_request()
         if request is None:
             return False
-        handler_task = asyncio.create_task(self._server.handler(request, Responder(self)))
+        responder = Responder(self, request.method)
+        handler_task = asyncio.create_task(self._server.handler(request, responder))
         self._stream.on_disconnect = handler_task.cancel
         try:
             await handler_task
@@ -187,6 +198,7 @@
         return True
 
     async def _read_request(self) -> ServerRequest | None:
+        self._method = b""
         limits = self._server.limits()
         try:
             async with asyncio.timeout(limits.idle_timeout_seconds):
@@ -224,6 +236,9 @@
             if isinstance(event, h11.ConnectionClosed):
                 return None
             event = await self._read_event()
+        self._method = event.method
+        if event.method == b"CONNECT":
+            raise _RejectedRequestError(501, "the method CONNECT is not supported")
         header_bytes = sum(len(name) + len(value) for name, value in event.headers.raw_items())
         if header_bytes + len(event.target) > limits.max_header_bytes:
             raise _RejectedRequestError(
@@ -262,14 +277,9 @@
 
     async def _reject(self, error: _RejectedRequestError) -> None:
         logger.info("rejected request: %s", error, extra={"status": error.status})
-        body = str(error).encode()
-        headers = [(b"Content-Length", str(len(body)).encode()), (b"Connection", b"close")]
+        self._keeps_open = False
         try:
-            await self.send(
-                h11.Response(status_code=error.status, headers=headers),
-                h11.Data(data=body),
-                h11.EndOfMessage(),
-            )
+            await Responder(self, self._method).send(error.status, [], str(error).encode())
         except (OSError, h11.ProtocolError):
             self._stream.abort()
             return
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -224,6 +224,55 @@
         writer.close()
 
 
+class TestResponsesWithoutBody:
+    """h11 refuses to send a body after HEAD or with 204 and 304; the caller was reset instead."""
+
+    @staticmethod
+    async def serve(status: int, limits: CallerLimits = LIMITS) -> Http1Server:
+        async def respond(request: ServerRequest, responder: Responder) -> None:
+            await responder.send(status, [(b"X-Extra", b"yes")], b"reason")
+
+        http_server = Http1Server("127.0.0.1:0", respond, lambda: limits)
+        await http_server.start()
+        return http_server
+
+    @pytest.mark.parametrize(
+        ("method", "status"),
+        [(b"HEAD", 503), (b"HEAD", 200), (b"GET", 204), (b"GET", 304), (b"HEAD", 204)],
+    )
+    async def test_response_is_complete_and_the_connection_kept(self, method, status) -> None:
+        http_server = await self.serve(status)
+        host, _, port = http_server.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        for _ in range(2):
+            writer.write(method + b" / HTTP/1.1\r\nHost: h\r\n\r\n")
+            async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+                head = await reader.readuntil(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 %d" % status)
+            assert b"x-extra: yes" in head.lower()
+        writer.close()
+        http_server.abort()
+
+    async def test_rejected_head_request_gets_its_status(self, server) -> None:
+        _, address = server
+        request = b"HEAD / HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n\r\n" + b"x" * 5000
+        response = await send_bytes(address, request)
+        assert response.startswith(b"HTTP/1.1 413")
+        assert response.endswith(b"\r\n\r\n")
+
+    async def test_connect_is_rejected(self, server, handler) -> None:
+        _, address = server
+        response = await send_bytes(address, b"CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\n")
+        assert response.startswith(b"HTTP/1.1 501")
+        assert not handler.requests
+
+    async def test_proposed_upgrade_is_answered_and_the_connection_kept(self, server) -> None:
+        _, address = server
+        request = b"GET /a HTTP/1.1\r\nHost: h\r\nUpgrade: other\r\nConnection: upgrade\r\n\r\n"
+        response = await send_bytes(address, request + request)
+        assert response.count(b"HTTP/1.1 200") == 2
+
+
 class TestPlannedStop:
     """Under load, requests arrive while the server stops accepting connections."""
 
