Look for received bytes before a time-out closes a caller's connection

Callers saw their connection closed with the request unread, or a 408 for a request that had arrived in time, if the time-out was due in the loop turn of the arrival. After a pause of the process for seconds that is so for each connection with a request. A configuration that raises the idle time-out did not count for connections that were already idle.

Cause: the limits were read once at the start of the wait, and the time-out cancelled the wait although the bytes were in the buffer.

After a time-out the connection now lets the loop receive what has arrived, and compares the time with the limit then in force. The limit of the body is read when it is checked, too.

--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_byte_stream.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_byte_stream.py
@@ -67,14 +67,23 @@
         """Unblock ``write``."""
         self._writable.set()
 
+    @property
+    def readable(self) -> bool:
+        """Return whether ``read`` would return without waiting."""
+        return bool(self._buffer) or self.disconnected
+
+    async def wait_readable(self) -> None:
+        """Wait for received bytes or the end of the connection."""
+        while not self.readable:
+            self._readable.clear()
+            await self._readable.wait()
+
     async def read(self) -> bytes:
         """Return all unread bytes, waiting for some; empty if the peer closed the connection.
 
         :raises ConnectionError: the connection was reset
         """
-        while not self._buffer and not self.disconnected:
-            self._readable.clear()
-            await self._readable.wait()
+        await self.wait_readable()
         if not self._buffer and self.error is not None:
             raise ConnectionResetError(str(self.error)) from self.error
         data = bytes(self._buffer)
--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_server.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_server.py
@@ -20,6 +20,7 @@
 # A close with unread bytes resets the connection, which destroys a response on its way to the
 # caller. So bytes that still arrive after the response are read and discarded first.
 DISCARD_TIMEOUT_SECONDS = 1.0
+LOOP_TURNS_TO_RECEIVE = 2  # the first one finds the bytes, the second one receives them
 MAX_DISCARDED_BYTES = 32 * 1024 * 1024
 STATUSES_WITHOUT_BODY = (204, 304)
 COMPLETE_STATES = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
@@ -123,9 +124,15 @@
         self._method = b""  # of the request that is being read or served
         self._keeps_open = True
         self._closing = False
-        max_header_bytes = server.limits().max_header_bytes
+        self._since = 0.0  # when the connection became idle or its request began to arrive
+        max_header_bytes = self._limits.max_header_bytes
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=max_header_bytes)
 
+    @property
+    def _limits(self) -> CallerLimits:
+        """Return the limits in force, which may change while the connection is open."""
+        return self._server.limits()
+
     @property
     def idle(self) -> bool:
         """Return whether every request that has arrived, in part or whole, is answered."""
@@ -198,40 +205,41 @@
         return True
 
     async def _read_request(self) -> ServerRequest | None:
+        """Return the next request, None if the connection ends before one arrives."""
         self._method = b""
-        limits = self._server.limits()
-        try:
-            async with asyncio.timeout(limits.idle_timeout_seconds):
-                event = await self._wait_for_request()
-            if event is None:
-                return None
-            self._has_request = True
-            async with asyncio.timeout(limits.header_timeout_seconds):
-                return await self._read_head_and_body(event, limits)
-        except TimeoutError:
-            if self._http.their_state is h11.IDLE and not self._http.trailing_data[0]:
+        self._since = asyncio.get_running_loop().time()
+        event = self._parse_event()
+        while event is h11.NEED_DATA and not self._http.trailing_data[0]:
+            if not await self._wait_readable(lambda: self._limits.idle_timeout_seconds):
                 return None
-            raise _RejectedRequestError(
-                408, "the request was not received completely before the timeout"
-            ) from None
+            self._receive_data(await self._stream.read())
+            event = self._parse_event()
+        if isinstance(event, h11.ConnectionClosed):
+            return None
+        self._has_request = True
+        self._since = asyncio.get_running_loop().time()
+        return await self._read_head_and_body(event)
 
-    async def _wait_for_request(self) -> object | None:
-        """Return the first event of a request, or ``NEED_DATA`` as soon as a part has arrived.
+    async def _wait_readable(self, limit_seconds: Callable[[], float]) -> bool:
+        """Wait for bytes or the end of the connection; return whether one came in time.
 
-        None means that the caller closed the connection.
+        A configuration may change the limit during the wait.
         """
-        event = self._parse_event()
-        while event is h11.NEED_DATA:
-            data = await self._stream.read()
-            self._receive_data(data)
-            event = self._parse_event()
-            if event is h11.NEED_DATA and data:
-                return event
-        return None if isinstance(event, h11.ConnectionClosed) else event
+        loop = asyncio.get_running_loop()
+        while not self._stream.readable:
+            try:
+                async with asyncio.timeout_at(self._since + limit_seconds()):
+                    await self._stream.wait_readable()
+            except TimeoutError:
+                # A timer can fire before bytes are read that arrived while the process was paused.
+                for _ in range(LOOP_TURNS_TO_RECEIVE):
+                    await asyncio.sleep(0)
+                expired = loop.time() >= self._since + limit_seconds()
+                if expired and not self._stream.readable:
+                    return False
+        return True
 
-    async def _read_head_and_body(
-        self, event: object, limits: CallerLimits
-    ) -> ServerRequest | None:
+    async def _read_head_and_body(self, event: object) -> ServerRequest | None:
         while not isinstance(event, h11.Request):
             if isinstance(event, h11.ConnectionClosed):
                 return None
@@ -240,9 +248,9 @@
         if event.method == b"CONNECT":
             raise _RejectedRequestError(501, "the method CONNECT is not supported")
         header_bytes = sum(len(name) + len(value) for name, value in event.headers.raw_items())
-        if header_bytes + len(event.target) > limits.max_header_bytes:
+        if header_bytes + len(event.target) > self._limits.max_header_bytes:
             raise _RejectedRequestError(
-                431, f"the target and headers exceed {limits.max_header_bytes} bytes"
+                431, f"the target and headers exceed {self._limits.max_header_bytes} bytes"
             )
         if self._http.they_are_waiting_for_100_continue:
             await self.send(h11.InformationalResponse(status_code=100, headers=[]))
@@ -252,14 +260,19 @@
                 return None
             assert isinstance(part, h11.Data)
             body += part.data
-            if len(body) > limits.max_body_bytes:
-                raise _RejectedRequestError(413, f"the body exceeds {limits.max_body_bytes} bytes")
+            max_bytes = self._limits.max_body_bytes
+            if len(body) > max_bytes:
+                raise _RejectedRequestError(413, f"the body exceeds {max_bytes} bytes")
         return ServerRequest(
             event.method, event.target, list(event.headers.raw_items()), bytes(body)
         )
 
     async def _read_event(self) -> object:
         while (event := self._parse_event()) is h11.NEED_DATA:
+            if not await self._wait_readable(lambda: self._limits.header_timeout_seconds):
+                raise _RejectedRequestError(
+                    408, "the request was not received completely before the timeout"
+                )
             self._receive_data(await self._stream.read())
         return event
 
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -7,6 +7,7 @@
 import asyncio
 import socket
 import struct
+import time
 from collections.abc import AsyncIterator
 
 import pytest
@@ -273,6 +274,78 @@
         assert response.count(b"HTTP/1.1 200") == 2
 
 
+def pause_process(seconds: float) -> None:
+    """Block the event loop, as a pause of the process does."""
+    time.sleep(seconds)
+
+
+class TestTimeoutBesideArrival:
+    """A timer that fires beside an arriving request must not close the connection."""
+
+    REQUEST = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi"
+
+    async def connect(self, http_server: Http1Server) -> socket.socket:
+        host, _, port = http_server.address.rpartition(":")
+        connection = socket.create_connection((host, int(port)))
+        async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+            while not http_server._task_by_connection:
+                await asyncio.sleep(0.01)
+        return connection
+
+    async def read_all(self, connection: socket.socket) -> bytes:
+        reader, writer = await asyncio.open_connection(sock=connection)
+        try:
+            return await read_response(reader)
+        finally:
+            writer.close()
+
+    async def test_request_that_arrived_while_the_process_was_paused_is_answered(
+        self, server
+    ) -> None:
+        http_server, _ = server
+        connection = await self.connect(http_server)
+        connection.sendall(self.REQUEST)
+        pause_process(LIMITS.idle_timeout_seconds * 1.2)
+        assert (await self.read_all(connection)).endswith(b"hi")
+
+    async def test_request_completed_while_the_process_was_paused_is_answered(self, server) -> None:
+        http_server, _ = server
+        connection = await self.connect(http_server)
+        connection.sendall(self.REQUEST[:-1])
+        async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+            while not http_server.in_flight:
+                await asyncio.sleep(0.01)
+        connection.sendall(self.REQUEST[-1:])
+        pause_process(LIMITS.header_timeout_seconds * 1.2)
+        assert (await self.read_all(connection)).startswith(b"HTTP/1.1 200")
+
+    async def test_raised_idle_timeout_applies_to_an_idle_connection(self, handler) -> None:
+        limits = CallerLimits(idle_timeout_seconds=0.3)
+        http_server = Http1Server("127.0.0.1:0", handler.handle, lambda: limits)
+        await http_server.start()
+        connection = await self.connect(http_server)
+        (connection_task,) = http_server._task_by_connection.values()
+        limits = CallerLimits(idle_timeout_seconds=TEST_TIMEOUT_SECONDS)
+        await asyncio.wait([connection_task], timeout=0.6)  # twice the limit at the start
+        connection.sendall(self.REQUEST)
+        assert (await self.read_all(connection)).endswith(b"hi")
+        http_server.stop_accepting()
+        http_server.abort()
+
+    async def test_bytes_of_a_slow_sender_do_not_extend_the_header_timeout(self, server) -> None:
+        http_server, _ = server
+        connection = await self.connect(http_server)
+        reader, writer = await asyncio.open_connection(sock=connection)
+        sent_at = time.monotonic()
+        writer.write(b"GET / HTTP/1.1\r\nHost: h\r\nX: ")
+        response = asyncio.create_task(read_response(reader))
+        while not response.done() and time.monotonic() < sent_at + TEST_TIMEOUT_SECONDS:
+            writer.write(b"x")
+            await asyncio.wait([response], timeout=0.02)
+        assert (await response).startswith(b"HTTP/1.1 408")
+        writer.close()
+
+
 class TestPlannedStop:
     """Under load, requests arrive while the server stops accepting connections."""
 
