Log who ended a connection before its response was complete, and why

Operators saw "caller disconnected" for requests that the daemon itself had cut at the end of a planned stop, so neither could be counted.

Cause: both cancel the request's handler, which logged the line, and a request that had not been read whole logged nothing.

The connection now logs its end itself, once and with the request's id: "response aborted" if the daemon ended it, else "caller disconnected", with who (caller, network, daemon), why, how far the response was, and ms.

Evidence: TestEndLog covers the five ways, a request in part, and the absence of the line after a complete response.

--- a/packages/ragwortpaddled/src/ragwortpaddled/_relay_daemon.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/_relay_daemon.py
@@ -93,7 +93,12 @@
             dialect,
             random_source,
         )
-        self._server = Http1Server(section.listen, relay.handle, self._caller_limits)
+        self._server = Http1Server(
+            section.listen,
+            relay.handle,
+            self._caller_limits,
+            lambda headers: dialect.parse_request_headers(headers).attempt_id,
+        )
         self._ready_server = Http1Server(section.ready_listen, self._handle_ready)
         self._metrics_server = Http1Server(section.metrics_listen, _handle_metrics)
         self._ready_path = dialect.ready_path.encode()
@@ -188,7 +193,7 @@
             )
         for server in (self._server, self._ready_server, self._metrics_server):
             server.stop_accepting()
-            server.abort()
+            server.abort("end of the grace period")
         for task in self._tasks:
             task.cancel()
         try:
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay.py
@@ -1,6 +1,5 @@
 """Routes and authenticates each request, and refuses those that cannot be served."""
 
-import asyncio
 import random
 import time
 from urllib.parse import urlsplit
@@ -65,8 +64,8 @@
                 since=started_at,
                 **refusal.inputs,
             )
-        except asyncio.CancelledError:
-            log_request(metadata, "caller disconnected", since=started_at)
+        except ConnectionError:
+            outcome = "aborted"
             raise
         finally:
             telemetry.requests.add(1, {"outcome": outcome})
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relayed_request.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relayed_request.py
@@ -342,7 +342,6 @@
     async def _end_with_error(self, status: int, reason: str) -> str:
         """End with an error; a 503 guarantees that no endpoint ran the request."""
         if self.responder.started:
-            log_request(self.metadata, "response aborted", reason=reason, since=self.started_at)
             raise ConnectionResetError(reason)
         if not self._may_have_run and status == 502:
             raise RefusedError(503, reason, DEFAULT_RETRY_AFTER_SECONDS)
--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_byte_stream.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_byte_stream.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from enum import Enum
 
 from ragwortpaddled.transport._address import parse_address
 from ragwortpaddled.transport._socket_options import set_options
@@ -9,12 +10,21 @@
 MAX_UNREAD_BYTES = 256 * 1024  # bounds the memory per client on a VM with 300 MB
 
 
+class StreamEnd(Enum):
+    """What ended a connection, as far as this process can tell."""
+
+    CLOSED_BY_PEER = "closed its sending side"
+    RESET_BY_PEER = "reset the connection"
+    NO_RESPONSE = "no response"
+    CLOSED_HERE = "closed by this process"
+
+
 class ByteStream(asyncio.Protocol):
     """One TCP connection, read and written by a single task."""
 
     def __init__(self, on_connect: "Callable[[ByteStream], None] | None" = None) -> None:
         self.on_disconnect: Callable[[], object] | None = None
-        self.disconnected = False
+        self.end: StreamEnd | None = None
         self.error: Exception | None = None
         self._on_connect = on_connect
         self._buffer = bytearray()
@@ -23,6 +33,11 @@
         self._writable = asyncio.Event()
         self._writable.set()
 
+    @property
+    def disconnected(self) -> bool:
+        """Return whether the peer has closed its sending side or the connection has ended."""
+        return self.end is not None
+
     @property
     def unread_bytes(self) -> int:
         """Return the number of received bytes that have not been read."""
@@ -49,14 +64,23 @@
             self._transport.pause_reading()
 
     def eof_received(self) -> bool:
-        """Treat the end of the received data as a disconnect, but keep the sending side open."""
-        self._mark_disconnected()
+        """Treat the end of the received data as a disconnect, but keep the sending side open.
+
+        Until something is sent, a peer that has closed only its sending side looks like one that
+        has closed the connection.
+        """
+        self._mark_disconnected(StreamEnd.CLOSED_BY_PEER)
         return True
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Record the disconnect and its error, and wake the reader and the writer."""
         self.error = self.error or exc
-        self._mark_disconnected()
+        if exc is None:
+            self._mark_disconnected(StreamEnd.CLOSED_HERE)
+        elif isinstance(exc, ConnectionError):
+            self._mark_disconnected(StreamEnd.RESET_BY_PEER)
+        else:
+            self._mark_disconnected(StreamEnd.NO_RESPONSE)
         self._writable.set()
 
     def pause_writing(self) -> None:
@@ -81,11 +105,13 @@
     async def read(self) -> bytes:
         """Return all unread bytes, waiting for some; empty if the peer closed the connection.
 
-        :raises ConnectionError: the connection was reset
+        :raises ConnectionError: the connection was reset, or closed by this process
         """
         await self.wait_readable()
         if not self._buffer and self.error is not None:
             raise ConnectionResetError(str(self.error)) from self.error
+        if not self._buffer and self.end is StreamEnd.CLOSED_HERE:
+            raise ConnectionResetError(self.end.value)
         data = bytes(self._buffer)
         self._buffer.clear()
         if self._transport and not self._transport.is_closing():
@@ -118,10 +144,10 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def _mark_disconnected(self) -> None:
+    def _mark_disconnected(self, end: StreamEnd) -> None:
         if self.disconnected:
             return
-        self.disconnected = True
+        self.end = end
         self._readable.set()
         if self.on_disconnect is not None:
             self.on_disconnect()
--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_server.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_server.py
@@ -1,7 +1,11 @@
 """HTTP/1.1 server for the relay's callers.
 
-When a caller disconnects, its request's handler is cancelled at once. A response that cannot be
+When a caller disconnects, its request's handler is cancelled at once. That includes a caller that
+closes only its sending side, which can't be told from one that is gone. A response that cannot be
 completed ends with a connection reset, so that the caller cannot take it for a complete one.
+
+A connection that ends before the response to its request is complete is logged once, with who ended
+it and why.
 """
 
 import asyncio
@@ -12,7 +16,7 @@
 
 import h11
 
-from ragwortpaddled.transport._byte_stream import ByteStream
+from ragwortpaddled.transport._byte_stream import ByteStream, StreamEnd
 from ragwortpaddled.transport._http1_client import RawHeaders
 from ragwortpaddled.transport._http_messages import first_value
 
@@ -25,6 +29,14 @@
 STATUSES_WITHOUT_BODY = (204, 304)
 COMPLETE_STATES = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 
+PARTY_AND_REASON_BY_END = {
+    StreamEnd.CLOSED_BY_PEER: ("caller", "the caller closed its sending side"),
+    StreamEnd.RESET_BY_PEER: ("caller", "the caller reset the connection"),
+    StreamEnd.NO_RESPONSE: ("network", "no response from the caller's VM"),
+    StreamEnd.CLOSED_HERE: ("daemon", "the connection was closed"),
+    None: ("daemon", "the connection's task was cancelled"),
+}
+
 logger = logging.getLogger(__name__)
 
 
@@ -122,6 +134,9 @@
         self._stream = stream
         self._has_request = False
         self._method = b""  # of the request that is being read or served
+        self._headers: RawHeaders = []  # of the same request
+        self._written_bytes = 0  # of its response
+        self._abort_reason = ""
         self._keeps_open = True
         self._closing = False
         self._since = 0.0  # when the connection became idle or its request began to arrive
@@ -156,31 +171,44 @@
         return headers
 
     async def send(self, *events: h11.Event) -> None:
-        await self._stream.write(*(self._http.send(event) or b"" for event in events))
+        parts = [self._http.send(event) or b"" for event in events]
+        self._written_bytes += sum(len(part) for part in parts)
+        await self._stream.write(*parts)
 
     def close_if_idle(self) -> None:
         """Close the connection, unless a request has arrived or a response is on its way."""
         if self.idle and not self._closing:
             self._stream.close()
 
-    def abort(self) -> None:
+    def abort(self, reason: str) -> None:
+        """Reset the connection; ``reason`` is logged unless the caller has ended it before."""
+        if not self._stream.disconnected:
+            self._abort_reason = self._abort_reason or reason
         self._stream.abort()
 
     async def run(self) -> None:
+        try:
+            await self._serve_all()
+        finally:
+            if self._has_request:
+                self._log_end()
+
+    async def _serve_all(self) -> None:
         try:
             while await self._serve_one():
                 pass
             self._stream.close()
         except _RejectedRequestError as error:
             await self._reject(error)
-        except (OSError, h11.ProtocolError):
-            self._stream.abort()
+        except (OSError, h11.ProtocolError) as error:
+            self.abort(str(error))
 
     async def _serve_one(self) -> bool:
         """Serve one request; return whether the connection can serve another."""
         request = await self._read_request()
-        if request is None:
+        if request is None or self._stream.disconnected:
             return False
+        self._written_bytes = 0
         responder = Responder(self, request.method)
         handler_task = asyncio.create_task(self._server.handler(request, responder))
         self._stream.on_disconnect = handler_task.cancel
@@ -189,12 +217,10 @@
         except asyncio.CancelledError:
             if not self._stream.disconnected:
                 raise
-            self._stream.abort()
-            return False
         finally:
             self._stream.on_disconnect = None
         if not self.response_complete:
-            self._stream.abort()
+            self.abort("the handler ended before the response was complete")
             return False
         states = (self._http.our_state, self._http.their_state)
         if self._server.draining or states != (h11.DONE, h11.DONE):
@@ -207,6 +233,7 @@
     async def _read_request(self) -> ServerRequest | None:
         """Return the next request, None if the connection ends before one arrives."""
         self._method = b""
+        self._headers = []
         self._since = asyncio.get_running_loop().time()
         event = self._parse_event()
         while event is h11.NEED_DATA and not self._http.trailing_data[0]:
@@ -245,9 +272,10 @@
                 return None
             event = await self._read_event()
         self._method = event.method
+        self._headers = list(event.headers.raw_items())
         if event.method == b"CONNECT":
             raise _RejectedRequestError(501, "the method CONNECT is not supported")
-        header_bytes = sum(len(name) + len(value) for name, value in event.headers.raw_items())
+        header_bytes = sum(len(name) + len(value) for name, value in self._headers)
         if header_bytes + len(event.target) > self._limits.max_header_bytes:
             raise _RejectedRequestError(
                 431, f"the target and headers exceed {self._limits.max_header_bytes} bytes"
@@ -263,9 +291,7 @@
             max_bytes = self._limits.max_body_bytes
             if len(body) > max_bytes:
                 raise _RejectedRequestError(413, f"the body exceeds {max_bytes} bytes")
-        return ServerRequest(
-            event.method, event.target, list(event.headers.raw_items()), bytes(body)
-        )
+        return ServerRequest(event.method, event.target, self._headers, bytes(body))
 
     async def _read_event(self) -> object:
         while (event := self._parse_event()) is h11.NEED_DATA:
@@ -289,20 +315,22 @@
             raise _RejectedRequestError(error.error_status_hint, str(error)) from error
 
     async def _reject(self, error: _RejectedRequestError) -> None:
-        logger.info("rejected request: %s", error, extra={"status": error.status})
+        self._log(logging.INFO, f"rejected request: {error}", status=error.status)
         self._keeps_open = False
         try:
             await Responder(self, self._method).send(error.status, [], str(error).encode())
-        except (OSError, h11.ProtocolError):
-            self._stream.abort()
+        except (OSError, h11.ProtocolError) as error:
+            self.abort(str(error))
             return
         await self._close_in_order()
 
     async def _close_in_order(self) -> None:
         """Close the sending side, discard what still arrives, then close the connection."""
         self._closing = True
+        self._update_has_unsent_response()
         self._stream.end_writing()
         loop = asyncio.get_running_loop()
+        stalled_since = loop.time()
         deadline = loop.time() + DISCARD_TIMEOUT_SECONDS
         unsent_bytes = self._stream.unsent_bytes
         discarded_bytes = 0
@@ -311,9 +339,14 @@
                 async with asyncio.timeout_at(deadline):
                     data = await self._stream.read()
             except TimeoutError:
-                if not 0 < self._stream.unsent_bytes < unsent_bytes:
-                    break
+                if self._stream.unsent_bytes < unsent_bytes:
+                    stalled_since = loop.time()
                 unsent_bytes = self._stream.unsent_bytes
+                if not unsent_bytes:
+                    break
+                if loop.time() - stalled_since >= self._limits.idle_timeout_seconds:
+                    self.abort("the caller did not read the response in time")
+                    break
                 deadline = loop.time() + DISCARD_TIMEOUT_SECONDS
                 continue
             except ConnectionError:
@@ -321,16 +354,46 @@
             if not data:
                 break
             discarded_bytes += len(data)
+        self._update_has_unsent_response()
         self._stream.close()
 
+    def _update_has_unsent_response(self) -> None:
+        """Update whether a response is unsent; once the connection is lost, that is unknown."""
+        if self._stream.end in (None, StreamEnd.CLOSED_BY_PEER):
+            self._has_request = bool(self._stream.unsent_bytes)
+
+    def _log_end(self) -> None:
+        ended_by, reason = PARTY_AND_REASON_BY_END[self._stream.end]
+        if self._abort_reason:
+            ended_by, reason = "daemon", self._abort_reason
+        progress = "written" if self.response_complete else "started"
+        self._log(
+            logging.INFO,
+            "response aborted" if ended_by == "daemon" else "caller disconnected",
+            ended_by=ended_by,
+            reason=reason,
+            response=progress if self.response_started else "not started",
+            written_bytes=self._written_bytes,
+            ms=int((asyncio.get_running_loop().time() - self._since) * 1000),
+        )
+
+    def _log(self, level: int, message: str, **fields: object) -> None:
+        request_id = self._server.get_request_id(self._headers)
+        logger.log(level, message, extra={"request_id": request_id, "fields": fields})
+
 
 class Http1Server:
     """A server that passes requests to a handler, one at a time per connection."""
 
     def __init__(
-        self, listen: str, handler: Handler, limits: Callable[[], CallerLimits] = CallerLimits
+        self,
+        listen: str,
+        handler: Handler,
+        limits: Callable[[], CallerLimits] = CallerLimits,
+        get_request_id: Callable[[RawHeaders], str] = lambda headers: "-",
     ) -> None:
         self.draining = False
+        self.get_request_id = get_request_id
         self.handler = handler
         self.limits = limits
         self.address = listen
@@ -365,10 +428,10 @@
         for connection in list(self._task_by_connection):
             connection.close_if_idle()
 
-    def abort(self) -> None:
-        """Reset all connections."""
+    def abort(self, reason: str = "the server was stopped") -> None:
+        """Reset all connections; ``reason`` is logged for each response that this cuts off."""
         for connection in list(self._task_by_connection):
-            connection.abort()
+            connection.abort(reason)
 
     def _accept(self, stream: ByteStream) -> None:
         connection = _ServerConnection(self, stream)
@@ -380,4 +443,4 @@
         self._task_by_connection.pop(connection, None)
         if not task.cancelled() and task.exception() is not None:
             logger.error("unhandled error on a connection from a caller", exc_info=task.exception())
-            connection.abort()
+            connection.abort("unhandled error")
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+import errno
+import logging
 import socket
 import struct
 import time
@@ -346,6 +348,135 @@
         writer.close()
 
 
+class TestEndLog:
+    """A connection that the daemon ended must not look like one that its caller closed."""
+
+    @pytest.fixture(autouse=True)
+    def capture(self, caplog) -> None:
+        caplog.set_level(logging.INFO, "ragwortpaddled")
+
+    @pytest.fixture
+    async def server(self, handler: RecordingHandler) -> AsyncIterator[Http1Server]:
+        def get_request_id(headers) -> str:
+            return dict(headers).get(b"X-Id", b"-").decode()
+
+        http_server = Http1Server("127.0.0.1:0", handler.handle, lambda: LIMITS, get_request_id)
+        await http_server.start()
+        yield http_server
+        http_server.stop_accepting()
+        http_server.abort()
+
+    async def start_request(
+        self, http_server: Http1Server, handler: RecordingHandler, target: bytes
+    ) -> socket.socket:
+        host, _, port = http_server.address.rpartition(":")
+        connection = socket.create_connection((host, int(port)))
+        connection.sendall(b"GET " + target + b" HTTP/1.1\r\nHost: h\r\nX-Id: r1\r\n\r\n")
+        async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+            while not handler.requests:
+                await asyncio.sleep(0.01)
+        return connection
+
+    async def read_end(self, http_server: Http1Server, caplog) -> tuple[str, dict]:
+        """Wait for the end of all connections; return the message and fields of the only line."""
+        async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+            while http_server._task_by_connection:
+                await asyncio.sleep(0.01)
+        (record,) = caplog.records
+        assert record.request_id == "r1"
+        assert record.fields["ms"] >= 0
+        return record.getMessage(), record.fields
+
+    async def test_caller_that_closes_its_sending_side(self, server, handler, caplog) -> None:
+        connection = await self.start_request(server, handler, b"/hang")
+        connection.shutdown(socket.SHUT_WR)
+        message, fields = await self.read_end(server, caplog)
+        assert message == "caller disconnected"
+        assert fields["ended_by"] == "caller"
+        assert fields["reason"] == "the caller closed its sending side"
+        assert fields["response"] == "not started"
+        connection.close()
+
+    async def test_caller_that_resets(self, server, handler, caplog) -> None:
+        connection = await self.start_request(server, handler, b"/hang")
+        linger = struct.pack("ii", 1, 0)  # zero linger time: close() sends a reset
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        connection.close()
+        message, fields = await self.read_end(server, caplog)
+        assert message == "caller disconnected"
+        assert (fields["ended_by"], fields["reason"]) == (
+            "caller",
+            "the caller reset the connection",
+        )
+
+    async def test_vm_of_the_caller_that_does_not_respond(self, server, handler, caplog) -> None:
+        connection = await self.start_request(server, handler, b"/hang")
+        (server_connection,) = server._task_by_connection
+        timeout = TimeoutError(errno.ETIMEDOUT, "Connection timed out")
+        server_connection._stream._transport._force_close(timeout)  # as after TCP_USER_TIMEOUT
+        message, fields = await self.read_end(server, caplog)
+        assert message == "caller disconnected"
+        assert (fields["ended_by"], fields["reason"]) == (
+            "network",
+            "no response from the caller's VM",
+        )
+        connection.close()
+
+    async def test_server_that_is_stopped(self, server, handler, caplog) -> None:
+        connection = await self.start_request(server, handler, b"/hang")
+        server.abort("end of the grace period")
+        message, fields = await self.read_end(server, caplog)
+        assert message == "response aborted"
+        assert (fields["ended_by"], fields["reason"]) == ("daemon", "end of the grace period")
+        connection.close()
+
+    async def test_response_that_its_handler_breaks_off(self, server, handler, caplog) -> None:
+        connection = await self.start_request(server, handler, b"/cut")
+        message, fields = await self.read_end(server, caplog)
+        assert message == "response aborted"
+        assert (fields["ended_by"], fields["reason"]) == ("daemon", "the endpoint failed")
+        assert fields["response"] == "started"
+        assert fields["written_bytes"] > len("half")
+        connection.close()
+
+    async def test_request_that_has_arrived_in_part(self, server, caplog) -> None:
+        host, _, port = server.address.rpartition(":")
+        connection = socket.create_connection((host, int(port)))
+        connection.sendall(b"POST /a HTTP/1.1\r\nX-Id: r1\r\nHost: h\r\nContent-Length: 2\r\n\r\n")
+        async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+            while not server.in_flight:
+                await asyncio.sleep(0.01)
+        server.abort("end of the grace period")
+        message, fields = await self.read_end(server, caplog)
+        assert (message, fields["response"]) == ("response aborted", "not started")
+        connection.close()
+
+    async def test_complete_response_logs_nothing(self, server, handler, caplog) -> None:
+        connection = await self.start_request(server, handler, b"/a")
+        reader, writer = await asyncio.open_connection(sock=connection)
+        await read_response(reader)
+        writer.close()
+        async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+            while server._task_by_connection:
+                await asyncio.sleep(0.01)
+        assert not caplog.records
+
+    async def test_request_of_a_caller_that_has_already_closed_is_not_run(
+        self, server, handler, caplog
+    ) -> None:
+        """Both arrive in one loop turn, as after a pause of the process."""
+        host, _, port = server.address.rpartition(":")
+        connection = socket.create_connection((host, int(port)))
+        async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+            while not server._task_by_connection:
+                await asyncio.sleep(0.01)
+        connection.sendall(b"GET /a HTTP/1.1\r\nHost: h\r\nX-Id: r1\r\n\r\n")
+        connection.close()
+        message, _ = await self.read_end(server, caplog)
+        assert message == "caller disconnected"
+        assert not handler.requests
+
+
 class TestPlannedStop:
     """Under load, requests arrive while the server stops accepting connections."""
 
