Answer a request whose handler fails, instead of resetting its caller

Callers saw a reset without an answer when anything but an endpoint's error or a refusal was raised: ValueError and OverflowError from odd addresses or targets, a stray TimeoutError (an OSError, so it wasn't even logged), and a header that h11 refuses to send.

Cause: the exception ended the connection's task.

The connection logs the error with its traceback and the request's id, and answers 500, or 502 once sending the request to an endpoint has begun (the attempt's Target records that), and closes the connection in order. Only a response that has started is cut off. A ConnectionError that has nothing to do with the caller counts as such an error, too. The requests are counted with the outcome "error", those that the daemon cut off with "aborted".

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_dispatcher.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_dispatcher.py
@@ -67,6 +67,7 @@
     pool: str = ""
     waited_seconds: float = 0.0
     reserved_at: float = 0.0  # on the monotonic clock
+    may_have_received: bool = False  # sending the request to the endpoint has begun
     _reserved: bool = field(default=False)
 
     @property
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_endpoint_client.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_endpoint_client.py
@@ -143,6 +143,7 @@
     ) -> Response:
         endpoint_id = target.endpoint.id
         sent_at = time.monotonic()
+        target.may_have_received = True
         try:
             await connection.send(request.method, request.target, headers, request.body)
             head = await connection.read_head()
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay.py
@@ -64,9 +64,15 @@
                 since=started_at,
                 **refusal.inputs,
             )
-        except ConnectionError:
+        except ConnectionError as error:
+            if not (responder.started or responder.disconnected):
+                outcome = "error"
+                raise RuntimeError("unexpected connection error") from error
             outcome = "aborted"
             raise
+        except Exception:
+            outcome = "error"
+            raise
         finally:
             telemetry.requests.add(1, {"outcome": outcome})
             telemetry.request_seconds.record(time.monotonic() - started_at, {"outcome": outcome})
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relayed_request.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relayed_request.py
@@ -68,6 +68,7 @@
         self._excluded_ids: set[str] = set()
         self._may_have_run = False
         self._possible_runs = 0
+        self._target: Target | None = None  # of an attempt that may still run the request
         self._began = False  # the endpoint of the current attempt has begun to respond
         self._fingerprint = fingerprint(
             self.team.name if self.team else "",
@@ -87,6 +88,12 @@
                 return await self._attempt_until_answered()
         except TimeoutError:
             return await self._end_with_error(504, "deadline exceeded")
+        except RefusedError:
+            raise
+        except Exception:
+            if self._may_run:
+                self.responder.failure_status = 502
+            raise
 
     async def _attempt_until_answered(self) -> str:
         sends = 0
@@ -98,6 +105,7 @@
             except RefusedError as refusal:
                 return await self._end_refused(refusal)
             sends += 1
+            self._target = target
             telemetry.place_wait_seconds.record(target.waited_seconds, {"pool": self.pool.name})
             try:
                 if not self.responder.started:
@@ -109,6 +117,7 @@
             except RefusedError as refusal:
                 return await self._end_refused(refusal)
             except NotRunError as error:
+                self._target = None
                 self._record_failure(error, target)
             except MaybeRunError as error:
                 self._record_failure(error, target)
@@ -286,6 +295,12 @@
                 # Mark the operation's error as retrieved; this method ends for another reason.
                 task.exception()
 
+    @property
+    def _may_run(self) -> bool:
+        """Return whether an endpoint may have run the request, or may be running it."""
+        in_progress = self._target is not None and self._target.may_have_received
+        return self._may_have_run or in_progress
+
     @property
     def _is_last_attempt(self) -> bool:
         return self._possible_runs + 1 >= self.route.max_attempts
--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_server.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_server.py
@@ -79,6 +79,7 @@
     """Writes the response to one request."""
 
     def __init__(self, connection: "_ServerConnection", method: bytes) -> None:
+        self.failure_status = 500  # sent if the handler fails before the response has started
         self._connection = connection
         self._is_head = method == b"HEAD"
 
@@ -92,6 +93,11 @@
         """Return whether the whole response has been written."""
         return self._connection.response_complete
 
+    @property
+    def disconnected(self) -> bool:
+        """Return whether the caller can't receive a response any more."""
+        return self._connection.disconnected
+
     async def send(self, status: int, headers: RawHeaders, body: bytes) -> None:
         """Send a complete response; Content-Length is set from the body.
 
@@ -156,6 +162,10 @@
         unread_or_unsent = self._stream.unread_bytes or self._stream.unsent_bytes
         return not self._has_request and not unread_or_unsent
 
+    @property
+    def disconnected(self) -> bool:
+        return self._stream.disconnected
+
     @property
     def response_started(self) -> bool:
         return self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE)
@@ -217,6 +227,12 @@
         except asyncio.CancelledError:
             if not self._stream.disconnected:
                 raise
+        except ConnectionError as error:
+            self.abort(str(error))
+            return False
+        except Exception:
+            await self._fail(responder)
+            return False
         finally:
             self._stream.on_disconnect = None
         if not self.response_complete:
@@ -314,6 +330,16 @@
         except h11.RemoteProtocolError as error:
             raise _RejectedRequestError(error.error_status_hint, str(error)) from error
 
+    async def _fail(self, responder: Responder) -> None:
+        """Log the error of a handler and send its caller a response, if none has started."""
+        self._log(logging.ERROR, "unhandled error in the handler of a request", exc_info=True)
+        if self.response_started:
+            self.abort("unhandled error")
+            return
+        self._keeps_open = False
+        await responder.send(responder.failure_status, [], b"internal error")
+        await self._close_in_order()
+
     async def _reject(self, error: _RejectedRequestError) -> None:
         self._log(logging.INFO, f"rejected request: {error}", status=error.status)
         self._keeps_open = False
@@ -377,9 +403,10 @@
             ms=int((asyncio.get_running_loop().time() - self._since) * 1000),
         )
 
-    def _log(self, level: int, message: str, **fields: object) -> None:
+    def _log(self, level: int, message: str, *, exc_info: bool = False, **fields: object) -> None:
         request_id = self._server.get_request_id(self._headers)
-        logger.log(level, message, extra={"request_id": request_id, "fields": fields})
+        extra = {"request_id": request_id, "fields": fields}
+        logger.log(level, message, exc_info=exc_info, extra=extra)
 
 
 class Http1Server:
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -477,6 +477,51 @@
         assert not handler.requests
 
 
+class TestHandlerErrors:
+    """An error that no code expects must not end a request without an answer."""
+
+    @staticmethod
+    async def serve(handler) -> Http1Server:
+        http_server = Http1Server("127.0.0.1:0", handler, lambda: LIMITS)
+        await http_server.start()
+        return http_server
+
+    @pytest.mark.parametrize("error", [ValueError("port"), TimeoutError(), OverflowError()])
+    @pytest.mark.parametrize("method", [b"GET", b"HEAD"])
+    async def test_error_before_the_response_gives_500(self, error, method, caplog) -> None:
+        async def fail(request: ServerRequest, responder: Responder) -> None:
+            raise error
+
+        http_server = await self.serve(fail)
+        response = await send_bytes(http_server.address, method + b" / HTTP/1.1\r\nHost: h\r\n\r\n")
+        assert response.startswith(b"HTTP/1.1 500")
+        assert b"connection: close" in response.lower()
+        (record,) = caplog.records
+        assert record.exc_info[1] is error
+
+    async def test_header_that_cannot_be_sent_gives_the_failure_status(self) -> None:
+        async def respond(request: ServerRequest, responder: Responder) -> None:
+            responder.failure_status = 502
+            await responder.send(200, [(b"X-Bad", b"a\r\nb")], b"body")
+
+        http_server = await self.serve(respond)
+        response = await send_bytes(http_server.address, b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        assert response.startswith(b"HTTP/1.1 502")
+
+    async def test_error_within_a_response_cuts_it_off(self) -> None:
+        async def fail(request: ServerRequest, responder: Responder) -> None:
+            await responder.start(200, [])
+            await responder.write(b"half")
+            raise ValueError("port")
+
+        http_server = await self.serve(fail)
+        connection = await Http1Pool().acquire(http_server.address)
+        await connection.send(b"GET", b"/", [(b"Host", b"h")], b"")
+        await connection.read_head()
+        with pytest.raises(ReplyLostError):
+            await connection.read_body()
+
+
 class TestPlannedStop:
     """Under load, requests arrive while the server stops accepting connections."""
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -367,6 +367,34 @@
         assert any(key[0] == "ragwortpaddle_request_seconds_bucket" for key in samples)
 
 
+class TestUnexpectedErrors:
+    """An error that is neither an endpoint's nor a refusal reset the caller."""
+
+    @staticmethod
+    def fail(*_: object, **__: object) -> None:
+        raise ValueError("unexpected")
+
+    async def test_error_before_an_attempt_gives_500(self, testbed, monkeypatch) -> None:
+        monkeypatch.setattr(testbed.daemon._dispatcher, "acquire", self.fail)
+        head, _ = await testbed.ask(b"POST", b"/book/1")
+        assert head.status == 500
+        assert not any(desk.received_requests for desk in testbed.desks)
+
+    async def test_error_after_a_request_was_sent_gives_502(self, testbed, monkeypatch) -> None:
+        dialect = testbed.daemon._endpoint_client._dialect
+        monkeypatch.setattr(dialect, "parse_response_headers", self.fail)
+        head, _ = await testbed.ask(b"POST", b"/book/1")
+        assert head.status == 502
+        assert sum(desk.count_executions("a1") for desk in testbed.desks) == 1
+
+    async def test_later_requests_are_served(self, testbed, monkeypatch) -> None:
+        with monkeypatch.context() as context:
+            context.setattr(testbed.daemon._dispatcher, "acquire", self.fail)
+            await testbed.ask(b"POST", b"/book/1")
+        head, _ = await testbed.ask(b"POST", b"/book/2", b"a2")
+        assert head.status == 200
+
+
 class TestShutdown:
     async def test_running_stream_completes(self, testbed: RelayTestBed) -> None:
         for engine in testbed.engines:
