In a planned stop take only requests that can end, and answer the rest

Callers saw requests cut without an answer at the end of a planned stop, among them requests that may not be repeated: taken up to 2.3 s after SIGTERM, passed on, and reset 6.8 s after it (grace 8 s, lag 2.5 s).

Cause: the daemon took every request until its listener was closed, and longer on open connections, whatever time was left; at the end it reset all connections, also those whose response had not started.

All others get a 503 at once, with Connection: close and a Retry-After of 0.05 to 0.25 s. At the end each request in flight is ended through its own deadline: 503 if sending it to an endpoint has not begun, else 502; only responses that have started are reset, after a time in which the answers are sent.

--- a/packages/ragwortpaddled/src/ragwortpaddled/_relay_daemon.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/_relay_daemon.py
@@ -25,7 +25,7 @@
 )
 from ragwortpaddled.errors import SettingsError
 from ragwortpaddled.protocol import Dialect, PlatformClient, StoreDialect
-from ragwortpaddled.state import CrashCause, PoolRetryBudget, RetryBudgetBounds
+from ragwortpaddled.state import CrashCause, DrainPlan, PoolRetryBudget, RetryBudgetBounds
 from ragwortpaddled.transport import (
     CallerLimits,
     Http1Client,
@@ -35,8 +35,6 @@
 )
 
 DRAIN_POLL_SECONDS = 0.05
-SHUTDOWN_MARGIN_SECONDS = 1.2  # of the grace period, reserved for closing connections
-CLOSE_TIMEOUT_SECONDS = 0.5
 TASK_RESTART_SECONDS = 1.0
 SETTINGS_POLL_SECONDS = 2.0  # the file may change without a SIGHUP
 
@@ -83,7 +81,7 @@
             section.peer_listen,
             random_source,
         )
-        relay = Relay(
+        relay = self._relay = Relay(
             self._relay_directory,
             self._dispatcher,
             self._endpoint_client,
@@ -176,28 +174,30 @@
             await asyncio.sleep(TASK_RESTART_SECONDS)
 
     async def shutdown(self) -> None:
-        """Drain requests in flight within the grace period, then close everything."""
+        """Answer the requests in flight within the grace period, then close everything."""
         started_at = time.monotonic()
         section = self._settings.end
+        plan = DrainPlan.create(started_at, section.grace_seconds, section.balancer_lag_ms / 1000)
         self._server.draining = True
+        self._relay.start_draining(plan)
         logger.info("shutting down", extra={"fields": {"in_flight": self._server.in_flight}})
-        await asyncio.sleep(section.balancer_lag_ms / 1000)
+        await asyncio.sleep(plan.connections_until - started_at)
         self._server.stop_accepting()
-        drain_deadline = started_at + section.grace_seconds - SHUTDOWN_MARGIN_SECONDS
-        while self._server.in_flight and time.monotonic() < drain_deadline:
-            await asyncio.sleep(DRAIN_POLL_SECONDS)
+        await self._wait_for_requests(plan.requests_until)
         if self._server.in_flight:
             fields = {"in_flight": self._server.in_flight}
             logger.warning(
-                "requests aborted at the end of the grace period", extra={"fields": fields}
+                "requests ended at the end of the grace period", extra={"fields": fields}
             )
+            self._relay.end_requests()
+            await self._wait_for_requests(plan.responses_until)
         for server in (self._server, self._ready_server, self._metrics_server):
             server.stop_accepting()
             server.abort("end of the grace period")
         for task in self._tasks:
             task.cancel()
         try:
-            async with asyncio.timeout(CLOSE_TIMEOUT_SECONDS):
+            async with asyncio.timeout(plan.releasing_seconds):
                 await asyncio.gather(self._layer_placer.close(), self._peers.close())
         except TimeoutError:
             logger.warning("lease and daemon entry not released before the close timeout")
@@ -209,6 +209,11 @@
         }
         logger.info("shutdown complete", extra={"fields": summary})
 
+    async def _wait_for_requests(self, until: float) -> None:
+        """Wait until no request is in flight, or until a time on the monotonic clock."""
+        while self._server.in_flight and time.monotonic() < until:
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+
     def _caller_limits(self) -> CallerLimits:
         config = self._relay_directory.config
         return config.limits if config is not None else CallerLimits()
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay.py
@@ -16,10 +16,20 @@
 )
 from ragwortpaddled.coordination._stall_locator import StallLocator
 from ragwortpaddled.errors import RefusedError
-from ragwortpaddled.protocol import Dialect, PathRoute, RelayConfig, RelayTeam, RequestMetadata
-from ragwortpaddled.state import PoolRetryBudget, select_pool
+from ragwortpaddled.protocol import (
+    Dialect,
+    PathRoute,
+    RelayConfig,
+    RelayPool,
+    RelayTeam,
+    RequestMetadata,
+)
+from ragwortpaddled.state import DrainPlan, PoolRetryBudget, ResponseTimes, select_pool
 from ragwortpaddled.transport import Responder, ServerRequest
 
+# Callers that are refused because the daemon stops should come back at once, at another VM.
+STOP_RETRY_AFTER_BOUNDS_SECONDS = (0.05, 0.25)
+
 
 class Relay:
     """Serves each request with exactly one response: an endpoint's, an error or a refusal."""
@@ -43,6 +53,18 @@
         self._retry_budget = retry_budget
         self._dialect = dialect
         self._random = random_source
+        self._response_times = ResponseTimes()
+        self._drain_plan: DrainPlan | None = None
+        self._running: set[RelayedRequest] = set()
+
+    def start_draining(self, plan: DrainPlan) -> None:
+        """Refuse requests from now on that can't be expected to end in time."""
+        self._drain_plan = plan
+
+    def end_requests(self) -> None:
+        """End the requests in flight, each with a response if none has started."""
+        for request in list(self._running):
+            request.end(self._stop_refusal("end of the grace period"))
 
     async def handle(self, request: ServerRequest, responder: Responder) -> None:
         """Serve one request; a cancellation means that the caller disconnected."""
@@ -91,7 +113,9 @@
         seconds = route.timeout_seconds
         if metadata.deadline_ms is not None:
             seconds = min(seconds, metadata.deadline_ms / 1000)
-        return await RelayedRequest(
+        deadline = start + seconds
+        self._refuse_if_too_late(pool, deadline)
+        relayed_request = RelayedRequest(
             dispatcher=self._dispatcher,
             endpoint_client=self._endpoint_client,
             stall_locator=self._stall_locator,
@@ -104,8 +128,32 @@
             pool=pool,
             team=team,
             started_at=start,
-            deadline=start + seconds,
-        ).run()
+            deadline=deadline,
+        )
+        self._running.add(relayed_request)
+        try:
+            outcome = await relayed_request.run()
+        finally:
+            self._running.discard(relayed_request)
+        self._response_times.record(pool.name, time.monotonic() - start)
+        return outcome
+
+    def _refuse_if_too_late(self, pool: RelayPool, deadline: float) -> None:
+        """Refuse a request that the daemon can't expect to serve before it stops."""
+        now = time.monotonic()
+        plan = self._drain_plan
+        if plan is None or self._response_times.can_serve(plan, pool.name, now, deadline):
+            return
+        expected_seconds = self._response_times.high_seconds(pool.name)
+        raise self._stop_refusal(
+            "shutting down",
+            expected_ms=int(expected_seconds * 1000) if expected_seconds is not None else None,
+            remaining_ms=int((plan.requests_until - now) * 1000),
+        )
+
+    def _stop_refusal(self, reason: str, **inputs: object) -> RefusedError:
+        seconds = self._random.uniform(*STOP_RETRY_AFTER_BOUNDS_SECONDS)
+        return RefusedError(503, reason, seconds, **inputs)
 
     def _match_route(self, request: ServerRequest) -> PathRoute:
         host = (request.header(b"host") or b"").decode("latin-1").partition(":")[0]
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relayed_request.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relayed_request.py
@@ -44,7 +44,7 @@
 logger = logging.getLogger(__name__)
 
 
-@dataclass
+@dataclass(eq=False)
 class RelayedRequest:
     """The attempts of one request; times are in seconds on the monotonic clock."""
 
@@ -68,6 +68,8 @@
         self._excluded_ids: set[str] = set()
         self._may_have_run = False
         self._possible_runs = 0
+        self._timeout: asyncio.Timeout | None = None
+        self._end_refusal: RefusedError | None = None  # why the daemon ended the request early
         self._target: Target | None = None  # of an attempt that may still run the request
         self._began = False  # the endpoint of the current attempt has begun to respond
         self._fingerprint = fingerprint(
@@ -84,10 +86,10 @@
         """
         self.retry_budget.record_request(self.pool.name)
         try:
-            async with asyncio.timeout_at(_to_loop_time(self.deadline)):
+            async with asyncio.timeout_at(_to_loop_time(self.deadline)) as self._timeout:
                 return await self._attempt_until_answered()
         except TimeoutError:
-            return await self._end_with_error(504, "deadline exceeded")
+            return await self._end_expired()
         except RefusedError:
             raise
         except Exception:
@@ -95,6 +97,26 @@
                 self.responder.failure_status = 502
             raise
 
+    def end(self, refusal: RefusedError) -> None:
+        """End the request before its deadline.
+
+        If its response has not started, the caller gets the refusal if no endpoint can have run the
+        request, or 502.
+        """
+        if self._timeout is None or self._timeout.expired():
+            return
+        self._end_refusal = refusal
+        self._timeout.reschedule(asyncio.get_running_loop().time())
+
+    async def _end_expired(self) -> str:
+        if self.responder.complete:
+            return "served"  # the connection still sends it
+        if self._end_refusal is None:
+            return await self._end_with_error(504, "deadline exceeded")
+        if not (self._may_run or self.responder.started):
+            raise self._end_refusal
+        return await self._end_with_error(502, self._end_refusal.reason)
+
     async def _attempt_until_answered(self) -> str:
         sends = 0
         while True:
@@ -350,7 +372,7 @@
 
         :raises RefusedError: no endpoint ran the request
         """
-        if not self._may_have_run:
+        if not self._may_run:
             raise refusal
         return await self._end_with_error(502, refusal.reason)
 
@@ -358,7 +380,7 @@
         """End with an error; a 503 guarantees that no endpoint ran the request."""
         if self.responder.started:
             raise ConnectionResetError(reason)
-        if not self._may_have_run and status == 502:
+        if not self._may_run and status == 502:
             raise RefusedError(503, reason, DEFAULT_RETRY_AFTER_SECONDS)
         log_request(
             self.metadata, "request failed", status=status, reason=reason, since=self.started_at
--- a/packages/ragwortpaddled/src/ragwortpaddled/state/__init__.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/__init__.py
@@ -10,6 +10,7 @@
 from ragwortpaddled.state._crash_record import RECORD_TTL_SECONDS
 from ragwortpaddled.state._crash_records import CrashRecords
 from ragwortpaddled.state._departures import HOLD_SECONDS, Departures
+from ragwortpaddled.state._drain import DrainPlan, ResponseTimes
 from ragwortpaddled.state._endpoint_loads import EndpointLoad, EndpointLoads
 from ragwortpaddled.state._endpoints import Circuit, CircuitState, Endpoint, EndpointTable
 from ragwortpaddled.state._event_splitter import EventSplitter
@@ -103,6 +104,7 @@
     "CrashCause",
     "CrashRecords",
     "Departures",
+    "DrainPlan",
     "Endpoint",
     "EndpointLoad",
     "EndpointLoads",
@@ -124,6 +126,7 @@
     "RequestFingerprint",
     "RequestLimits",
     "RequestSize",
+    "ResponseTimes",
     "RetryBudgetBounds",
     "Route",
     "RouteTable",
--- /dev/null
+++ b/tests/test_planned_stop.py
@@ -0,0 +1,183 @@
+"""A planned stop of a relay daemon under load: which requests it takes, and how it ends the rest.
+
+Every request that it has read gets a complete response, unless its response had started; those that
+may not be repeated are passed on only if they are expected to end in time.
+"""
+
+import asyncio
+import logging
+import time
+from collections.abc import AsyncIterator, Awaitable
+
+import pytest
+from ragwortpaddle_standins.relay_platform import caller_headers, configuration
+from ragwortpaddled.errors import ReplyLostError
+from ragwortpaddled.transport import Http1Connection, ResponseHead
+from relay_fleet import RelayTestBed
+
+GRACE_SECONDS = 4.0  # of the test bed's daemons
+LAG_SECONDS = 0.3
+KNOWN_RESPONSES = 12  # enough for the daemon to know how long the pool takes
+
+
+@pytest.fixture
+async def testbed(tmp_path) -> AsyncIterator[RelayTestBed]:
+    async with RelayTestBed(tmp_path) as testbed:
+        long_routes = [dict(route, timeoutMs=20000) for route in configuration()["routes"]]
+        testbed.store.put("config", "main", configuration(2, routes=long_routes))
+        await testbed.wait(
+            lambda: testbed.daemon._relay_directory.config.version == 2, "configuration"
+        )
+        yield testbed
+
+
+async def stop(testbed: RelayTestBed) -> asyncio.Task[None]:
+    """Begin a planned stop."""
+    shutdown_task = asyncio.create_task(testbed.daemon.shutdown())
+    await asyncio.sleep(0)
+    return shutdown_task
+
+
+async def finish(testbed: RelayTestBed, shutdown_task: Awaitable[None]) -> None:
+    """Wait for the end of a planned stop."""
+    await shutdown_task
+    testbed.daemon = None
+
+
+async def send_again(connection: Http1Connection, method: bytes, path: bytes, attempt: bytes):
+    """Send another request on an open connection and return its response."""
+    await connection.send(method, path, caller_headers(attempt, deadline_ms=b"20000"), b"")
+    return await read(connection)
+
+
+async def read(connection: Http1Connection) -> tuple[ResponseHead, bytes]:
+    head = await connection.read_head()
+    return head, await connection.read_body()
+
+
+async def send(testbed: RelayTestBed, method: bytes, path: bytes, attempt: bytes):
+    return await testbed.send(method, path, attempt, deadline=b"20000")
+
+
+class TestNewRequests:
+    """A request that arrives during a stop is passed on only if it can be expected to end."""
+
+    async def test_request_that_cannot_end_in_time_is_refused_at_once(self, testbed) -> None:
+        for engine in testbed.engines:
+            engine.event_interval_seconds = 0.4  # a stream takes longer than the grace period
+        connections = [
+            await send(testbed, b"POST", b"/once/1", b"k%d" % number)
+            for number in range(KNOWN_RESPONSES)
+        ]
+        for connection in connections:
+            assert (await read(connection))[0].status == 200
+        shutdown_task = await stop(testbed)
+        sent_at = time.monotonic()
+        head, _ = await send_again(connections[0], b"POST", b"/once/1", b"late")
+        assert head.status == 503
+        assert time.monotonic() - sent_at < LAG_SECONDS
+        assert head.header(b"connection") == b"close"
+        assert 0 < float(head.header(b"retry-after")) < 0.5
+        assert sum(engine.count_executions("late") for engine in testbed.engines) == 0
+        await finish(testbed, shutdown_task)
+
+    async def test_short_request_is_served_during_the_stop(self, testbed) -> None:
+        for number in range(KNOWN_RESPONSES):
+            await testbed.ask(b"GET", b"/look/1", b"k%d" % number)
+        connection = await send(testbed, b"GET", b"/look/1", b"first")
+        await read(connection)
+        shutdown_task = await stop(testbed)
+        head, _ = await send_again(connection, b"GET", b"/look/1", b"late")
+        assert head.status == 200
+        assert head.header(b"connection") == b"close"
+        await finish(testbed, shutdown_task)
+
+    async def test_refusals_spread_their_callers(self, testbed) -> None:
+        relay = testbed.daemon._relay
+        seconds = {relay._stop_refusal("shutting down").retry_after_seconds for _ in range(20)}
+        assert len(seconds) > 10
+
+
+class TestRequestsInFlight:
+    """At the end of the grace period each request gets a final answer that is true."""
+
+    async def test_request_that_may_have_run_gets_502(self, testbed) -> None:
+        for desk in testbed.desks:
+            desk.fault = "hang"
+        connection = await send(testbed, b"POST", b"/book/1", b"a1")
+        await testbed.wait(lambda: any(d.received_requests for d in testbed.desks), "execution")
+        shutdown_task = await stop(testbed)
+        head, _ = await read(connection)
+        assert head.status == 502
+        assert head.header(b"connection") == b"close"
+        await finish(testbed, shutdown_task)
+
+    async def test_queued_request_gets_503_and_never_runs(self, testbed) -> None:
+        for desk in testbed.desks:
+            desk.fault = "hang"
+        slots = sum(desk.slots for desk in testbed.desks)
+        running = [
+            await send(testbed, b"POST", b"/book/1", b"r%d" % number) for number in range(slots)
+        ]
+        await testbed.wait(
+            lambda: sum(len(d.received_requests) for d in testbed.desks) == slots, "full desks"
+        )
+        queued = await send(testbed, b"POST", b"/book/1", b"queued")
+        await testbed.wait(
+            lambda: testbed.daemon._dispatcher.waiting_count("desk") == 1, "queued request"
+        )
+        shutdown_task = await stop(testbed)
+        assert (await read(queued))[0].status == 503
+        assert [(await read(connection))[0].status for connection in running] == [502] * slots
+        assert sum(desk.count_executions("queued") for desk in testbed.desks) == 0
+        await finish(testbed, shutdown_task)
+
+    async def test_request_without_a_connection_to_an_endpoint_gets_503(
+        self, testbed, monkeypatch
+    ) -> None:
+        connecting = asyncio.Event()
+
+        async def connect_without_end(*_: object, **__: object) -> None:
+            connecting.set()
+            await asyncio.Event().wait()
+
+        monkeypatch.setattr(
+            testbed.daemon._endpoint_client.connections, "acquire", connect_without_end
+        )
+        connection = await send(testbed, b"POST", b"/book/1", b"a1")
+        await connecting.wait()
+        shutdown_task = await stop(testbed)
+        assert (await read(connection))[0].status == 503
+        await finish(testbed, shutdown_task)
+
+    async def test_started_stream_is_reset_and_logged_as_the_daemons_end(
+        self, testbed, caplog
+    ) -> None:
+        caplog.set_level(logging.INFO, "ragwortpaddled")
+        for engine in testbed.engines:
+            engine.event_count = 1_000_000
+        connection = await send(testbed, b"POST", b"/once/1", b"a1")
+        await connection.read_head()
+        shutdown_task = await stop(testbed)
+        with pytest.raises(ReplyLostError):
+            while await connection.read_body_part() is not None:
+                pass
+        await finish(testbed, shutdown_task)
+        messages = [r.getMessage() for r in caplog.records if getattr(r, "request_id", "") == "a1"]
+        assert "caller disconnected" not in messages
+        (end,) = (r for r in caplog.records if r.getMessage() == "response aborted" and r.fields)
+        assert end.request_id == "a1"
+        assert end.fields["reason"] == "end of the grace period"
+        assert end.fields["response"] == "started"
+
+    async def test_stop_with_requests_that_never_end_takes_less_than_the_grace_period(
+        self, testbed
+    ) -> None:
+        for desk in testbed.desks:
+            desk.fault = "hang"
+        connection = await send(testbed, b"POST", b"/book/1", b"a1")
+        await testbed.wait(lambda: any(d.received_requests for d in testbed.desks), "execution")
+        started_at = time.monotonic()
+        await finish(testbed, await stop(testbed))
+        assert time.monotonic() - started_at < GRACE_SECONDS
+        connection.close()
