Let requests run until the last sixth of any grace period in a planned stop

With a grace period below 8 s the daemon ended requests earlier than the platform allows (rule LOST: a request whose replica was still at work in the last sixth doesn't count): 3.8 s of 5, where 4.17 are due.

It is now 0.15 of the grace period, 1.2 s at most: the same for 8 s, 0.75 for 5 s. Evidence: with the former 0.3 the new bound fails for 2, 4 and 5 s by the same arithmetic (1.4, 2.8 and 3.8 s); the tests of the planned stop pass with the test bed's 4 s.

--- a/packages/ragwortpaddled/src/ragwortpaddled/state/_drain.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/_drain.py
@@ -10,7 +10,8 @@
 from typing import Self
 
 # Reserved at the end of the grace period for sending the last responses and closing connections.
-CLOSING_SHARE = 0.3
+# It begins in the last sixth, up to which the platform lets requests run.
+CLOSING_SHARE = 0.15
 MAX_CLOSING_SECONDS = 1.2
 SENDING_SHARE = 0.25  # of the time that is reserved
 RELEASING_SHARE = 0.4  # likewise, for giving up the lease and the daemon's entry
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -14,9 +14,10 @@
         assert 100.0 <= plan.connections_until <= plan.requests_until <= plan.responses_until
         assert plan.responses_until + plan.releasing_seconds <= 100.0 + grace
 
-    def test_usual_grace_period_leaves_requests_its_last_sixth(self) -> None:
-        """Cut before 5/6 of the grace period, a request counts as lost."""
-        assert DrainPlan.create(0.0, 8.0, 2.5).requests_until >= 8.0 * 5 / 6
+    @pytest.mark.parametrize("grace", [2.0, 4.0, 5.0, 8.0, 60.0])
+    def test_requests_in_flight_may_run_until_the_last_sixth(self, grace: float) -> None:
+        """A request that is cut before 5/6 of the grace period counts as lost."""
+        assert DrainPlan.create(0.0, grace, 2.5).requests_until >= grace * 5 / 6
 
 
 class TestAdmission:
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -64,7 +64,7 @@
 
     async def test_request_that_cannot_end_in_time_is_refused_at_once(self, testbed) -> None:
         for engine in testbed.engines:
-            engine.event_interval_seconds = 0.4  # a stream takes longer than the grace period
+            engine.event_interval_seconds = 0.5  # a stream takes longer than the grace period
         connections = [
             await send(testbed, b"POST", b"/once/1", b"k%d" % number)
             for number in range(KNOWN_RESPONSES)
