Answer 503 to requests that have not arrived whole when the daemon stops

Callers whose request was still arriving at the end of the grace period were reset without an answer. They now get a 503 (nothing was passed on), through the wait for their bytes, which ends as after a time-out.

--- a/packages/ragwortpaddled/src/ragwortpaddled/_relay_daemon.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/_relay_daemon.py
@@ -190,6 +190,7 @@
                 "requests ended at the end of the grace period", extra={"fields": fields}
             )
             self._relay.end_requests()
+            self._server.refuse_partial_requests()
             await self._wait_for_requests(plan.responses_until)
         for server in (self._server, self._ready_server, self._metrics_server):
             server.stop_accepting()
--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_server.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_server.py
@@ -143,6 +143,8 @@
         self._headers: RawHeaders = []  # of the same request
         self._written_bytes = 0  # of its response
         self._abort_reason = ""
+        self._refusing = False
+        self._read_timeout: asyncio.Timeout | None = None  # of a wait for bytes
         self._keeps_open = True
         self._closing = False
         self._since = 0.0  # when the connection became idle or its request began to arrive
@@ -190,6 +192,12 @@
         if self.idle and not self._closing:
             self._stream.close()
 
+    def refuse_partial_request(self) -> None:
+        """Answer a request that has not arrived completely with 503."""
+        self._refusing = True
+        if self._read_timeout is not None and not self._read_timeout.expired():
+            self._read_timeout.reschedule(asyncio.get_running_loop().time())
+
     def abort(self, reason: str) -> None:
         """Reset the connection; ``reason`` is logged unless the caller has ended it before."""
         if not self._stream.disconnected:
@@ -271,14 +279,16 @@
         loop = asyncio.get_running_loop()
         while not self._stream.readable:
             try:
-                async with asyncio.timeout_at(self._since + limit_seconds()):
+                until = self._since + limit_seconds()
+                async with asyncio.timeout_at(until) as self._read_timeout:
                     await self._stream.wait_readable()
+                self._read_timeout = None
             except TimeoutError:
                 # A timer can fire before bytes are read that arrived while the process was paused.
                 for _ in range(LOOP_TURNS_TO_RECEIVE):
                     await asyncio.sleep(0)
                 expired = loop.time() >= self._since + limit_seconds()
-                if expired and not self._stream.readable:
+                if (expired or self._refusing) and not self._stream.readable:
                     return False
         return True
 
@@ -312,6 +322,8 @@
     async def _read_event(self) -> object:
         while (event := self._parse_event()) is h11.NEED_DATA:
             if not await self._wait_readable(lambda: self._limits.header_timeout_seconds):
+                if self._refusing:
+                    raise _RejectedRequestError(503, "shutting down")
                 raise _RejectedRequestError(
                     408, "the request was not received completely before the timeout"
                 )
@@ -455,6 +467,11 @@
         for connection in list(self._task_by_connection):
             connection.close_if_idle()
 
+    def refuse_partial_requests(self) -> None:
+        """Answer each request that has not arrived completely with 503."""
+        for connection in list(self._task_by_connection):
+            connection.refuse_partial_request()
+
     def abort(self, reason: str = "the server was stopped") -> None:
         """Reset all connections; ``reason`` is logged for each response that this cuts off."""
         for connection in list(self._task_by_connection):
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -7,6 +7,7 @@
 import asyncio
 import errno
 import logging
+import random
 import socket
 import struct
 import time
@@ -522,6 +523,49 @@
             await connection.read_body()
 
 
+class TestOddRequests:
+    """Bytes of callers that are no proper request are answered, or the connection is closed."""
+
+    REQUEST = (
+        b"POST /a?x=%20 HTTP/1.1\r\nHost: h\r\nX-Id: r1\r\nExpect: 100-continue\r\n"
+        b"Content-Length: 12\r\n\r\nhello, world"
+    )
+    PIECES = (
+        b"\r\n", b"\0", b"\xff\xfe", b" ", b":", b"HTTP/1.0", b"HTTP/2.0", b"HEAD", b"CONNECT h:1",
+        b"Content-Length: 3\r\n", b"Transfer-Encoding: chunked\r\n", b"Transfer-Encoding: x\r\n",
+        b"Connection: close\r\n", b"Upgrade: x\r\n", b"http://[::1", b"9" * 5000, b"-1",
+    )  # fmt: skip
+
+    async def test_content_length_with_thousands_of_digits_gives_400(self, handler) -> None:
+        http_server = Http1Server("127.0.0.1:0", handler.handle)
+        await http_server.start()
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + b"9" * 5000 + b"\r\n\r\n"
+        assert (await send_bytes(http_server.address, head)).startswith(b"HTTP/1.1 400")
+
+    @pytest.mark.parametrize("seed", range(4))
+    async def test_no_error_of_the_server_itself(self, handler, caplog, seed: int) -> None:
+        random_source = random.Random(seed)
+        limits = CallerLimits(header_timeout_seconds=0.2, idle_timeout_seconds=0.2)
+        http_server = Http1Server("127.0.0.1:0", handler.handle, lambda: limits)
+        await http_server.start()
+
+        async def send_mutant() -> tuple[bytes, bytes]:
+            data = self.REQUEST
+            for _ in range(random_source.randint(1, 3)):
+                first = random_source.randrange(len(data))
+                end = first + random_source.choice((0, 0, 1, 10))
+                data = data[:first] + random_source.choice(self.PIECES) + data[end:]
+            return data, await send_bytes(http_server.address, data)
+
+        for data, response in await asyncio.gather(*(send_mutant() for _ in range(100))):
+            assert response.startswith(b"HTTP/1.1 "), data
+        assert not [record for record in caplog.records if record.levelno >= logging.ERROR]
+        async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+            while http_server._task_by_connection:
+                await asyncio.sleep(0.01)
+        http_server.stop_accepting()
+
+
 class TestPlannedStop:
     """Under load, requests arrive while the server stops accepting connections."""
 
@@ -564,6 +608,19 @@
             assert (await reader.read()).endswith(b"hi")
         assert http_server.in_flight == 0
 
+    async def test_request_that_never_arrives_whole_gets_503_at_the_end(self, server) -> None:
+        http_server, address = server
+        reader, writer, _ = await self.connect(http_server, address)
+        writer.write(self.REQUEST[:-1])
+        async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+            while not http_server.in_flight:
+                await asyncio.sleep(0.01)
+        http_server.draining = True
+        http_server.stop_accepting()
+        http_server.refuse_partial_requests()
+        assert (await read_response(reader)).startswith(b"HTTP/1.1 503")
+        writer.close()
+
     async def test_idle_connection_is_closed(self, server) -> None:
         http_server, address = server
         reader, writer, _ = await self.connect(http_server, address)
@@ -637,6 +694,19 @@
         listener.close()
 
 
+class TestOddReplies:
+    async def test_content_length_with_thousands_of_digits_is_a_lost_reply(self) -> None:
+        async def respond(reader, writer) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: " + b"9" * 5000 + b"\r\n\r\n")
+
+        listener = await asyncio.start_server(respond, "127.0.0.1", 0)
+        address = f"127.0.0.1:{listener.sockets[0].getsockname()[1]}"
+        with pytest.raises(ReplyLostError):
+            await Http1Client().exchange("GET", f"http://{address}/", timeout_seconds=1.0)
+        listener.close()
+
+
 class EndlessServer:
     """Answers each request with a head, then repeats some bytes until the client disconnects."""
 
