Reset an HTTP/1.0 caller whose response is cut off

Such a connection is now reset (no linger). Callers with HTTP/1.1 see the missing last chunk, and still get what was sent before.

The soak also checks now that no request on an undisturbed daemon ends without an answer.

--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_byte_stream.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_byte_stream.py
@@ -1,12 +1,15 @@
 """A buffered TCP connection that reports a disconnect even while no task reads from it."""
 
 import asyncio
+import socket
+import struct
 from collections.abc import Callable
 from enum import Enum
 
 from ragwortpaddled.transport._address import parse_address
 from ragwortpaddled.transport._socket_options import set_options
 
+NO_LINGER = struct.pack("ii", 1, 0)  # close() sends a reset
 MAX_UNREAD_BYTES = 256 * 1024  # bounds the memory per client on a VM with 300 MB
 
 
@@ -140,10 +143,17 @@
             self._transport.close()
 
     def abort(self) -> None:
-        """Reset the connection, which shows the peer that a partial response is incomplete."""
+        """Close the connection at once, without the bytes that are still unsent."""
         if self._transport is not None:
             self._transport.abort()
 
+    def reset(self) -> None:
+        """Close the connection at once, so that the peer sees an error and not an end."""
+        if self._transport is not None and not self._transport.is_closing():
+            connection = self._transport.get_extra_info("socket")
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+            self._transport.abort()
+
     def _mark_disconnected(self, end: StreamEnd) -> None:
         if self.disconnected:
             return
--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_server.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_server.py
@@ -199,10 +199,13 @@
             self._read_timeout.reschedule(asyncio.get_running_loop().time())
 
     def abort(self, reason: str) -> None:
-        """Reset the connection; ``reason`` is logged unless the caller has ended it before."""
+        """End the connection now; ``reason`` is logged unless the caller has ended it before."""
         if not self._stream.disconnected:
             self._abort_reason = self._abort_reason or reason
-        self._stream.abort()
+        if self.response_started and self._http.their_http_version != b"1.1":
+            self._stream.reset()  # a body without length or chunks would look complete
+        else:
+            self._stream.abort()
 
     async def run(self) -> None:
         try:
--- a/soak/_invariants.py
+++ b/soak/_invariants.py
@@ -76,6 +76,8 @@
         violations.append(f"{name} was denied with {record.status}")
     elapsed_seconds = record.ended_at - record.sent_at
     undisturbed = record.daemon.disturbed_until < record.sent_at
+    if undisturbed and not record.status:
+        violations.append(f"{name} ended without an answer: {record.failure_reason}")
     if undisturbed and elapsed_seconds > DEADLINE_SECONDS + RESPONSE_SLACK_SECONDS:
         violations.append(
             f"{name} ended {elapsed_seconds:.2f} s after it was sent: {record.failure_reason}"
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -124,6 +124,14 @@
             while await connection.read_body_part() is not None:
                 pass
 
+    async def test_response_cut_off_by_an_error_is_not_complete_for_an_old_client(
+        self, server
+    ) -> None:
+        """To HTTP/1.0 the body has neither a length nor chunks and ends with the connection."""
+        _, address = server
+        with pytest.raises(ConnectionResetError):
+            await send_bytes(address, b"GET /cut HTTP/1.0\r\nHost: h\r\n\r\n")
+
     @pytest.mark.parametrize(
         ("data", "status"),
         [
