Record response times of each request that an endpoint may have run

Responses that were cut off at their deadline did not count, although they took longest, and refusals by a full pool after a wait did.

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay.py
@@ -132,11 +132,11 @@
         )
         self._running.add(relayed_request)
         try:
-            outcome = await relayed_request.run()
+            return await relayed_request.run()
         finally:
             self._running.discard(relayed_request)
-        self._response_times.record(pool.name, time.monotonic() - start)
-        return outcome
+            if relayed_request.may_have_run:
+                self._response_times.record(pool.name, time.monotonic() - start)
 
     def _refuse_if_too_late(self, pool: RelayPool, deadline: float) -> None:
         """Refuse a request that the daemon can't expect to serve before it stops."""
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relayed_request.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relayed_request.py
@@ -93,7 +93,7 @@
         except RefusedError:
             raise
         except Exception:
-            if self._may_run:
+            if self.may_have_run:
                 self.responder.failure_status = 502
             raise
 
@@ -113,7 +113,7 @@
             return "served"  # the connection still sends it
         if self._end_refusal is None:
             return await self._end_with_error(504, "deadline exceeded")
-        if not (self._may_run or self.responder.started):
+        if not (self.may_have_run or self.responder.started):
             raise self._end_refusal
         return await self._end_with_error(502, self._end_refusal.reason)
 
@@ -318,7 +318,7 @@
                 task.exception()
 
     @property
-    def _may_run(self) -> bool:
+    def may_have_run(self) -> bool:
         """Return whether an endpoint may have run the request, or may be running it."""
         in_progress = self._target is not None and self._target.may_have_received
         return self._may_have_run or in_progress
@@ -372,7 +372,7 @@
 
         :raises RefusedError: no endpoint ran the request
         """
-        if not self._may_run:
+        if not self.may_have_run:
             raise refusal
         return await self._end_with_error(502, refusal.reason)
 
@@ -380,7 +380,7 @@
         """End with an error; a 503 guarantees that no endpoint ran the request."""
         if self.responder.started:
             raise ConnectionResetError(reason)
-        if not self._may_run and status == 502:
+        if not self.may_have_run and status == 502:
             raise RefusedError(503, reason, DEFAULT_RETRY_AFTER_SECONDS)
         log_request(
             self.metadata, "request failed", status=status, reason=reason, since=self.started_at
