Keep a connection open until its caller has been told of the close

Callers whose response had started before a planned stop saw no Connection: close, sent the next request on the same connection, and got none: the connection was closed after the response. It now stays open; the next request is answered, with Connection: close. A handler that ends with a cancellation of its own left the connection open without a task, so its caller waited for ever; it gets a 500.

--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_server.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_server.py
@@ -233,11 +233,15 @@
         responder = Responder(self, request.method)
         handler_task = asyncio.create_task(self._server.handler(request, responder))
         self._stream.on_disconnect = handler_task.cancel
+        task = asyncio.current_task()
         try:
             await handler_task
         except asyncio.CancelledError:
-            if not self._stream.disconnected:
+            if task is not None and task.cancelling():
                 raise
+            if not self._stream.disconnected:
+                await self._fail(responder)
+                return False
         except ConnectionError as error:
             self.abort(str(error))
             return False
@@ -249,8 +253,7 @@
         if not self.response_complete:
             self.abort("the handler ended before the response was complete")
             return False
-        states = (self._http.our_state, self._http.their_state)
-        if self._server.draining or states != (h11.DONE, h11.DONE):
+        if (self._http.our_state, self._http.their_state) != (h11.DONE, h11.DONE):
             await self._close_in_order()
             return False
         self._http.start_next_cycle()
@@ -488,6 +491,8 @@
 
     def _remove_connection(self, connection: _ServerConnection, task: asyncio.Task[None]) -> None:
         self._task_by_connection.pop(connection, None)
-        if not task.cancelled() and task.exception() is not None:
+        if task.cancelled():
+            connection.abort("the connection's task was cancelled")
+        elif task.exception() is not None:
             logger.error("unhandled error on a connection from a caller", exc_info=task.exception())
             connection.abort("unhandled error")
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -11,7 +11,8 @@
 import socket
 import struct
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
+from typing import Any
 
 import pytest
 from ragwortpaddle_standins.fleet import free_address
@@ -33,6 +34,8 @@
 )
 TEST_TIMEOUT_SECONDS = 3.0
 
+Handler = Callable[[ServerRequest, Responder], Coroutine[Any, Any, None]]
+
 
 class RecordingHandler:
     """Responds as the request target says; records the requests and whether it was cancelled."""
@@ -76,6 +79,26 @@
     server.abort()
 
 
+StartServer = Callable[..., Awaitable[Http1Server]]
+
+
+@pytest.fixture
+async def start_server() -> AsyncIterator[StartServer]:
+    """Return a function that starts a server, which is stopped at the end of the test."""
+    http_servers: list[Http1Server] = []
+
+    async def start(handler: Handler, limits=lambda: LIMITS) -> Http1Server:
+        http_server = Http1Server("127.0.0.1:0", handler, limits)
+        await http_server.start()
+        http_servers.append(http_server)
+        return http_server
+
+    yield start
+    for http_server in http_servers:
+        http_server.stop_accepting()
+        http_server.abort()
+
+
 async def send_bytes(address: str, data: bytes) -> bytes:
     """Send bytes and return everything received until the server closes the connection."""
     host, _, port = address.rpartition(":")
@@ -171,7 +194,7 @@
     """A close that drops unsent bytes, or leaves bytes unread, destroys the response."""
 
     @pytest.mark.parametrize("closed_by", ["draining server", "caller"])
-    async def test_response_to_a_slow_reader_is_complete(self, closed_by: str) -> None:
+    async def test_response_to_a_slow_reader_is_complete(self, closed_by, start_server) -> None:
         written = asyncio.Event()
 
         async def fill_buffers(_: ServerRequest, responder: Responder) -> None:
@@ -181,8 +204,7 @@
             await responder.finish()
             written.set()
 
-        http_server = Http1Server("127.0.0.1:0", fill_buffers)
-        await http_server.start()
+        http_server = await start_server(fill_buffers)
         http_server.draining = closed_by == "draining server"
         option = b"Connection: close\r\n" if closed_by == "caller" else b""
         host, _, port = http_server.address.rpartition(":")
@@ -195,8 +217,6 @@
         async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
             assert (await reader.read()).endswith(b"x\r\n0\r\n\r\n")
         writer.close()
-        http_server.stop_accepting()
-        http_server.abort()
 
     async def test_rejection_reaches_a_caller_that_is_still_sending(self, server) -> None:
         """The rest of the body is still arriving when the server has rejected the request."""
@@ -239,21 +259,17 @@
 class TestResponsesWithoutBody:
     """h11 refuses to send a body after HEAD or with 204 and 304; the caller was reset instead."""
 
-    @staticmethod
-    async def serve(status: int, limits: CallerLimits = LIMITS) -> Http1Server:
-        async def respond(request: ServerRequest, responder: Responder) -> None:
-            await responder.send(status, [(b"X-Extra", b"yes")], b"reason")
-
-        http_server = Http1Server("127.0.0.1:0", respond, lambda: limits)
-        await http_server.start()
-        return http_server
-
     @pytest.mark.parametrize(
         ("method", "status"),
         [(b"HEAD", 503), (b"HEAD", 200), (b"GET", 204), (b"GET", 304), (b"HEAD", 204)],
     )
-    async def test_response_is_complete_and_the_connection_kept(self, method, status) -> None:
-        http_server = await self.serve(status)
+    async def test_response_is_complete_and_the_connection_kept(
+        self, method, status, start_server
+    ) -> None:
+        async def respond(request: ServerRequest, responder: Responder) -> None:
+            await responder.send(status, [(b"X-Extra", b"yes")], b"reason")
+
+        http_server = await start_server(respond)
         host, _, port = http_server.address.rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         for _ in range(2):
@@ -263,7 +279,6 @@
             assert head.startswith(b"HTTP/1.1 %d" % status)
             assert b"x-extra: yes" in head.lower()
         writer.close()
-        http_server.abort()
 
     async def test_rejected_head_request_gets_its_status(self, server) -> None:
         _, address = server
@@ -330,18 +345,17 @@
         pause_process(LIMITS.header_timeout_seconds * 1.2)
         assert (await self.read_all(connection)).startswith(b"HTTP/1.1 200")
 
-    async def test_raised_idle_timeout_applies_to_an_idle_connection(self, handler) -> None:
+    async def test_raised_idle_timeout_applies_to_an_idle_connection(
+        self, handler, start_server
+    ) -> None:
         limits = CallerLimits(idle_timeout_seconds=0.3)
-        http_server = Http1Server("127.0.0.1:0", handler.handle, lambda: limits)
-        await http_server.start()
+        http_server = await start_server(handler.handle, lambda: limits)
         connection = await self.connect(http_server)
         (connection_task,) = http_server._task_by_connection.values()
         limits = CallerLimits(idle_timeout_seconds=TEST_TIMEOUT_SECONDS)
         await asyncio.wait([connection_task], timeout=0.6)  # twice the limit at the start
         connection.sendall(self.REQUEST)
         assert (await self.read_all(connection)).endswith(b"hi")
-        http_server.stop_accepting()
-        http_server.abort()
 
     async def test_bytes_of_a_slow_sender_do_not_extend_the_header_timeout(self, server) -> None:
         http_server, _ = server
@@ -489,41 +503,47 @@
 class TestHandlerErrors:
     """An error that no code expects must not end a request without an answer."""
 
-    @staticmethod
-    async def serve(handler) -> Http1Server:
-        http_server = Http1Server("127.0.0.1:0", handler, lambda: LIMITS)
-        await http_server.start()
-        return http_server
-
     @pytest.mark.parametrize("error", [ValueError("port"), TimeoutError(), OverflowError()])
     @pytest.mark.parametrize("method", [b"GET", b"HEAD"])
-    async def test_error_before_the_response_gives_500(self, error, method, caplog) -> None:
+    async def test_error_before_the_response_gives_500(
+        self, error, method, caplog, start_server
+    ) -> None:
         async def fail(request: ServerRequest, responder: Responder) -> None:
             raise error
 
-        http_server = await self.serve(fail)
+        http_server = await start_server(fail)
         response = await send_bytes(http_server.address, method + b" / HTTP/1.1\r\nHost: h\r\n\r\n")
         assert response.startswith(b"HTTP/1.1 500")
         assert b"connection: close" in response.lower()
         (record,) = caplog.records
         assert record.exc_info[1] is error
 
-    async def test_header_that_cannot_be_sent_gives_the_failure_status(self) -> None:
+    async def test_cancellation_that_is_not_the_callers_gives_500(self, start_server) -> None:
+        async def fail(request: ServerRequest, responder: Responder) -> None:
+            future = asyncio.get_running_loop().create_future()
+            future.cancel()
+            await future
+
+        http_server = await start_server(fail)
+        response = await send_bytes(http_server.address, b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        assert response.startswith(b"HTTP/1.1 500")
+
+    async def test_header_that_cannot_be_sent_gives_the_failure_status(self, start_server) -> None:
         async def respond(request: ServerRequest, responder: Responder) -> None:
             responder.failure_status = 502
             await responder.send(200, [(b"X-Bad", b"a\r\nb")], b"body")
 
-        http_server = await self.serve(respond)
+        http_server = await start_server(respond)
         response = await send_bytes(http_server.address, b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
         assert response.startswith(b"HTTP/1.1 502")
 
-    async def test_error_within_a_response_cuts_it_off(self) -> None:
+    async def test_error_within_a_response_cuts_it_off(self, start_server) -> None:
         async def fail(request: ServerRequest, responder: Responder) -> None:
             await responder.start(200, [])
             await responder.write(b"half")
             raise ValueError("port")
 
-        http_server = await self.serve(fail)
+        http_server = await start_server(fail)
         connection = await Http1Pool().acquire(http_server.address)
         await connection.send(b"GET", b"/", [(b"Host", b"h")], b"")
         await connection.read_head()
@@ -544,18 +564,18 @@
         b"Connection: close\r\n", b"Upgrade: x\r\n", b"http://[::1", b"9" * 5000, b"-1",
     )  # fmt: skip
 
-    async def test_content_length_with_thousands_of_digits_gives_400(self, handler) -> None:
-        http_server = Http1Server("127.0.0.1:0", handler.handle)
-        await http_server.start()
+    async def test_content_length_with_thousands_of_digits_gives_400(
+        self, handler, start_server
+    ) -> None:
+        http_server = await start_server(handler.handle, CallerLimits)
         head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + b"9" * 5000 + b"\r\n\r\n"
         assert (await send_bytes(http_server.address, head)).startswith(b"HTTP/1.1 400")
 
     @pytest.mark.parametrize("seed", range(4))
-    async def test_no_error_of_the_server_itself(self, handler, caplog, seed: int) -> None:
+    async def test_no_error_of_the_server_itself(self, handler, caplog, seed, start_server) -> None:
         random_source = random.Random(seed)
         limits = CallerLimits(header_timeout_seconds=0.2, idle_timeout_seconds=0.2)
-        http_server = Http1Server("127.0.0.1:0", handler.handle, lambda: limits)
-        await http_server.start()
+        http_server = await start_server(handler.handle, lambda: limits)
 
         async def send_mutant() -> tuple[bytes, bytes]:
             data = self.REQUEST
@@ -571,7 +591,6 @@
         async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
             while http_server._task_by_connection:
                 await asyncio.sleep(0.01)
-        http_server.stop_accepting()
 
 
 class TestPlannedStop:
@@ -616,6 +635,27 @@
             assert (await reader.read()).endswith(b"hi")
         assert http_server.in_flight == 0
 
+    async def test_request_after_a_response_without_connection_close_is_answered(
+        self, start_server
+    ) -> None:
+        """The response had started before the stop, so its caller expects an open connection."""
+
+        async def respond(request: ServerRequest, responder: Responder) -> None:
+            await responder.start(200, [(b"Content-Length", b"2")])
+            http_server.draining = True
+            http_server.stop_accepting()
+            await responder.write(b"hi")
+            await responder.finish()
+
+        http_server = await start_server(respond)
+        reader, writer, _ = await self.connect(http_server, http_server.address)
+        writer.write(self.REQUEST)
+        assert b"connection: close" not in (await read_response(reader)).lower()
+        writer.write(self.REQUEST)
+        assert b"connection: close" in (await read_response(reader)).lower()
+        assert http_server.in_flight == 0
+        writer.close()
+
     async def test_request_that_never_arrives_whole_gets_503_at_the_end(self, server) -> None:
         http_server, address = server
         reader, writer, _ = await self.connect(http_server, address)
