--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -92,6 +92,26 @@
         assert head.header(b"connection") == b"close"
         await finish(testbed, shutdown_task)
 
+    async def test_streams_cut_at_their_deadline_count_as_long_responses(self, testbed) -> None:
+        for engine in testbed.engines:
+            engine.event_count = 1_000_000
+        connections = [
+            await testbed.send(b"POST", b"/once/1", b"k%d" % number, deadline=b"800")
+            for number in range(KNOWN_RESPONSES)
+        ]
+        for connection in connections:
+            with pytest.raises(ReplyLostError):
+                await read(connection)
+        assert testbed.daemon._relay._response_times.high_seconds("model") >= 0.8
+
+    async def test_refused_requests_do_not_count_as_short_responses(self, testbed) -> None:
+        for desk in testbed.desks:
+            desk.fault = "full"
+        for number in range(KNOWN_RESPONSES):
+            head, _ = await testbed.ask(b"POST", b"/book/1", b"k%d" % number, deadline=b"300")
+            assert head.status == 503
+        assert testbed.daemon._relay._response_times.high_seconds("desk") is None
+
     async def test_refusals_spread_their_callers(self, testbed) -> None:
         relay = testbed.daemon._relay
         seconds = {relay._stop_refusal("shutting down").retry_after_seconds for _ in range(20)}
