--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -558,3 +558,32 @@
         await testbed.wait(lambda: daemon._settings.log.level == "warning", "new settings")
         assert not [record for record in caplog.records if record.exc_info]
         assert (await testbed.ask(b"GET", b"/look/7"))[0].status == 200
+
+
+ODD_VALUES = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.sampled_from([10**400, -1, 0, 2**53, 2**64, 1e308, "127.0.0.1:80", "ready", "desk"])
+    | st.text(),
+    lambda inner: st.lists(inner) | st.fixed_dictionaries({"from": inner, "target": inner}),
+    max_leaves=5,
+)
+
+
+class TestAcceptedEntries:
+    """An entry that is accepted can be used without any further check."""
+
+    @given(st.sampled_from(["address", "slots", "born", "layers", "zone", "service"]), ODD_VALUES)
+    def test_values_are_within_their_ranges(self, field: str, value: object) -> None:
+        data = entry(**{field: json.dumps(value)}).decode()
+        try:
+            accepted = DIALECT.decode_endpoint(StoredObject("servers/e", 1, data))
+        except ObjectsError:
+            return
+        host, _, port = accepted.address.rpartition(":")
+        assert host.count(".") == 3
+        assert 1 <= int(port) <= 65535
+        assert 1 <= accepted.slots <= 100_000
+        assert 0 <= accepted.incarnation < 2**53
+        assert accepted.layers is None or 0 <= accepted.layers.first < accepted.layers.end <= 10_000
