Keep capacity that is granted in the moment in which its waiter times out

A request that was queued was refused, and the slot granted to it stayed reserved for the life of the daemon: an endpoint with two slots had one left.

Cause: the grant and the timeout fell into one turn of the event loop. At its end asyncio.timeout had cleared the task's count of cancellations, from which acquire() told whether the slot had to be released.

The wait now ends without a cancellation, and the grant itself decides: a granted request goes on, and a cancelled one releases its slot.

test_slot_granted_in_the_moment_of_the_timeout_is_used failed before (three runs of three: RefusedError; the load of the endpoint stayed 1 after all releases) and passes now.

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_dispatcher.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_dispatcher.py
@@ -154,16 +154,20 @@
         )
         heapq.heappush(waiters, waiter)
         try:
-            async with asyncio.timeout(max(0.0, request.queue_deadline - started_at)):
-                target = await waiter.target
-        except TimeoutError:
-            raise self._refusal(request, self._estimate_wait_seconds(request)) from None
+            # Not asyncio.timeout: it could end the wait in the moment in which capacity is granted.
+            timeout = max(0.0, request.queue_deadline - started_at)
+            await asyncio.wait([waiter.target], timeout=timeout)
+        except asyncio.CancelledError:
+            if waiter.target.done():
+                self.release(waiter.target.result())
+            raise
         finally:
             if waiter in waiters:
                 waiters.remove(waiter)
                 heapq.heapify(waiters)
-            if waiter.target.done() and not waiter.target.cancelled():
-                _release_if_cancelled(waiter.target)
+        if not waiter.target.done():
+            raise self._refusal(request, self._estimate_wait_seconds(request))
+        target = waiter.target.result()
         target.waited_seconds = time.monotonic() - started_at
         return target
 
@@ -199,9 +203,6 @@
         """Grant free capacity to queued requests, the most urgent first."""
         for waiters in self._waiters_by_pool.values():
             while waiters:
-                if waiters[0].target.done():
-                    heapq.heappop(waiters)
-                    continue
                 target = self._try_acquire(waiters[0].request)
                 if target is None:
                     break
@@ -345,10 +346,3 @@
             request.demand,
             excluded_ids=request.excluded_ids,
         )
-
-
-def _release_if_cancelled(future: "asyncio.Future[Target]") -> None:
-    """Release capacity that was granted while its waiter was being cancelled."""
-    task = asyncio.current_task()
-    if task is not None and task.cancelling():
-        future.result().release()
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -86,6 +86,20 @@
             await dispatcher.acquire(dispatch_request(max_queue_seconds=0.1))
         ).endpoint.id == "desk-0"
 
+    async def test_slot_granted_in_the_moment_of_the_timeout_is_used(
+        self, dispatcher: Dispatcher
+    ) -> None:
+        """The grant and the timeout fall into one turn of the event loop, which was held up."""
+        held = await fill(dispatcher)
+        waiting = asyncio.create_task(dispatcher.acquire(dispatch_request(max_queue_seconds=0.05)))
+        await asyncio.sleep(0)
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.04, dispatcher.release, held[0])
+        loop.call_soon(time.sleep, 0.1)
+        target = await waiting
+        dispatcher.release(target)
+        assert dispatcher._relay_directory.loads.get("desk-0").own_requests == SLOTS - 1
+
 
 class TestRefusal:
     async def test_refused_after_the_wait_with_a_retry_time(self, dispatcher: Dispatcher) -> None:
