Give an attempt up for silence only once its replacement is secured

Callers got a 502 after 1.5 s for a request that an engine was working on, or their stream was reset after 0.7 s, because an endpoint had said nothing for a moment and the request then could not go on elsewhere.

Cause: an attempt ended on soft evidence (silence, slowness, an error status that a retry might improve) before it was known whether the route may be retried, an attempt and a send are left, the retry budget allows one, and another target has capacity. A named engine skipped even the checks that there were: a stream that cannot be resumed was cut after 0.7 s of silence.

An attempt that may still succeed now ends only once all of these are held: the target is reserved and a unit of the budget taken. Until then it goes on, also while the request is queued for another target, and it is kept if it makes progress first. The 5xx of an endpoint is passed on if no retry is secured. What is reserved and not sent is given back; a retry that finds no capacity no longer consumes the budget. A silent engine is still avoided by other requests. Deadlines, callers that leave and connections that end work as before. If the secured attempt fails too, the request ends as if it had failed alone.

What the attempts of a request may use moved to _attempts.py, log_request to _request_log.py. `attempt kept` logs what rules out another attempt.

--- /dev/null
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_attempts.py
@@ -0,0 +1,190 @@
+"""What the attempts of one request may still use: sends, retries of the budget and capacity.
+
+An attempt that may still succeed is given up only once another one is certain. Silence is no proof
+of a fault, so a request that cannot go on elsewhere waits for the endpoint that it has.
+"""
+
+import asyncio
+import time
+from dataclasses import dataclass, field
+from typing import Any
+
+from ragwortpaddled.coordination._crash_tracker import CrashTracker
+from ragwortpaddled.coordination._dispatcher import Dispatcher, DispatchRequest, Target
+from ragwortpaddled.coordination._request_log import log_request
+from ragwortpaddled.errors import MaybeRunError, RefusedError, StalledError
+from ragwortpaddled.protocol import PathRoute, RelayPool, RelayTeam, RequestKind, RequestMetadata
+from ragwortpaddled.state import PoolRetryBudget, RequestFingerprint, RequestSize
+from ragwortpaddled.transport import Responder
+
+# Callers abandon a stream that has not started within 2 s, even if their deadline is later.
+STREAM_WAIT_SECONDS = 1.2
+MAX_WAIT_SHARE = 0.5  # of the time until the deadline; the rest is for processing
+MAX_SENDS = 4
+DEFAULT_RETRY_AFTER_SECONDS = 0.5
+
+
+@dataclass
+class Attempts:
+    """The attempts of one request; times are in seconds on the monotonic clock."""
+
+    dispatcher: Dispatcher
+    crash_tracker: CrashTracker
+    retry_budget: PoolRetryBudget
+    metadata: RequestMetadata
+    fingerprint: RequestFingerprint
+    responder: Responder
+    route: PathRoute
+    pool: RelayPool
+    team: RelayTeam | None
+    started_at: float
+    deadline: float
+    sends: int = 0
+    possible_runs: int = 0
+    excluded_ids: set[str] = field(default_factory=set)
+    _replacement: Target | None = None
+    _obstacle: str = ""  # what last kept the current attempt from being replaced
+
+    @property
+    def exhausted(self) -> bool:
+        """Return whether the request was sent as often as it may be."""
+        return self.possible_runs >= self.route.max_attempts or self.sends >= MAX_SENDS
+
+    async def start(self) -> Target:
+        """Return the target of the next attempt, reserved with a retry unless it is the first.
+
+        :raises RefusedError: something that the attempt requires is not available
+        """
+        target, self._replacement = self._replacement, None
+        if target is None:
+            target = await self._acquire()
+        if not self.responder.started:
+            # The request may have been quarantined while it was queued.
+            try:
+                self.crash_tracker.refuse_if_quarantined(self.fingerprint)
+            except RefusedError:
+                self._return_unused(target)
+                raise
+        self.sends += 1
+        self._obstacle = ""
+        return target
+
+    def close(self) -> None:
+        """Return what was reserved for an attempt that will not be sent."""
+        if self._replacement is not None:
+            self._return_unused(self._replacement)
+            self._replacement = None
+
+    async def secure_replacement(
+        self, fault: MaybeRunError, target: Target, task: asyncio.Task[Any] | None = None
+    ) -> bool:
+        """Reserve all that another attempt requires; return whether the current one may end.
+
+        The current attempt goes on meanwhile, and is kept if its task ends first.
+        """
+        obstacle = self._find_obstacle()
+        if not obstacle:
+            replacement = await self._reserve_elsewhere(fault, target, task)
+            if replacement is not None and self._take_retry(task):
+                self._replacement = replacement
+                return True
+            if replacement is not None:
+                self.dispatcher.release(replacement)
+            obstacle = self._find_obstacle() or "no capacity elsewhere"
+        if task is None or not task.done():
+            self._record_kept(fault, target, obstacle)
+        return False
+
+    async def _acquire(self) -> Target:
+        is_retry = self.sends > 0
+        if is_retry and not self.retry_budget.available(self.pool.name):
+            raise _budget_refusal()
+        if not self.responder.started:
+            await self.crash_tracker.admit(self.fingerprint)
+        target = await self.dispatcher.acquire(self._dispatch_request())
+        if is_retry and not self.retry_budget.try_acquire(self.pool.name):
+            self.dispatcher.release(target)
+            raise _budget_refusal()
+        return target
+
+    def _return_unused(self, target: Target) -> None:
+        self.dispatcher.release(target)
+        if self.sends:
+            self.retry_budget.give_back(self.pool.name)
+
+    def _take_retry(self, task: asyncio.Task[Any] | None) -> bool:
+        """Consume a retry, unless the current attempt has made progress or none is allowed."""
+        if (task is not None and task.done()) or self._find_obstacle():
+            return False
+        return self.retry_budget.try_acquire(self.pool.name)
+
+    async def _reserve_elsewhere(
+        self, fault: MaybeRunError, target: Target, task: asyncio.Task[Any] | None
+    ) -> Target | None:
+        """Reserve capacity elsewhere, None if there is none in time or the task ends first.
+
+        A stall that no engine causes means that a link or the fleet is busy. The request is then
+        moved only if another path has capacity; a retry on a full fleet would only add load.
+        """
+        request = self._dispatch_request(fault.endpoint)
+        if not fault.endpoint and not self.dispatcher.has_other_path(request, target):
+            return None
+        try:
+            replacement = await self.dispatcher.acquire(request, unless=task)
+        except RefusedError:
+            return None
+        if not fault.endpoint and replacement.path == target.path:
+            self.dispatcher.release(replacement)
+            return None
+        return replacement
+
+    def _find_obstacle(self) -> str:
+        """Return what rules out another attempt beside the current one, empty if nothing does."""
+        if not self.route.retryable:
+            return "route is not retryable"
+        if self.possible_runs + 1 >= self.route.max_attempts or self.sends >= MAX_SENDS:
+            return "last attempt"
+        if not self.retry_budget.available(self.pool.name):
+            return "retry budget exhausted"
+        if not self.responder.started and self.crash_tracker.suspects(self.fingerprint):
+            return "suspected of crashes"
+        return ""
+
+    def _record_kept(self, fault: MaybeRunError, target: Target, obstacle: str) -> None:
+        """Record that an attempt goes on; other requests avoid its silent engine meanwhile."""
+        silent = isinstance(fault, StalledError) and bool(fault.endpoint)
+        if silent and not target.loads.get(fault.endpoint).suspect(time.monotonic()):
+            target.loads.record_failure(fault.endpoint, suspected_lost=bool(target.path))
+        if obstacle == self._obstacle:
+            return
+        self._obstacle = obstacle
+        log_request(
+            self.metadata,
+            "attempt kept",
+            endpoint=fault.endpoint,
+            reason=fault.reason,
+            obstacle=obstacle,
+            budget_left=int(self.retry_budget.remaining(self.pool.name)),
+        )
+
+    def _dispatch_request(self, failed_id: str = "") -> DispatchRequest:
+        now = time.monotonic()
+        if self.route.request_kind is RequestKind.STREAM:
+            wait = STREAM_WAIT_SECONDS - (0 if self.responder.started else now - self.started_at)
+        else:
+            wait = (self.deadline - now) * MAX_WAIT_SHARE
+        priority = self.route.priority
+        if self.team is not None and self.team.priority is not None:
+            priority = self.team.priority
+        return DispatchRequest(
+            self.pool,
+            RequestSize(self.metadata.prompt_tokens, self.metadata.expected_answer_tokens),
+            priority,
+            now + max(0.0, wait),
+            self.deadline,
+            frozenset(self.excluded_ids | {failed_id}),
+        )
+
+
+def _budget_refusal() -> RefusedError:
+    return RefusedError(503, "retry budget exhausted", DEFAULT_RETRY_AFTER_SECONDS)
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_crash_tracker.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_crash_tracker.py
@@ -103,6 +103,13 @@
             await asyncio.sleep(min(seconds, EVIDENCE_POLL_SECONDS))
         self.refuse_if_quarantined(fingerprint)
 
+    def suspects(self, fingerprint: RequestFingerprint) -> bool:
+        """Return whether a request is quarantined, or must wait for evidence."""
+        return (
+            self.records.unsettled_seconds(fingerprint) > 0
+            or self.records.find_cause(fingerprint) is not None
+        )
+
     def refuse_if_quarantined(self, fingerprint: RequestFingerprint) -> None:
         """Refuse a request that matches a cause of crashes.
 
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_dispatcher.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_dispatcher.py
@@ -13,6 +13,7 @@
 from collections import defaultdict, deque
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from typing import Any
 
 from ragwortpaddled.coordination._relay_directory import RelayDirectory
 from ragwortpaddled.errors import RefusedError
@@ -133,9 +134,12 @@
             await asyncio.sleep(DISPATCH_INTERVAL_SECONDS)
             self.dispatch_waiting()
 
-    async def acquire(self, request: DispatchRequest) -> Target:
+    async def acquire(
+        self, request: DispatchRequest, *, unless: asyncio.Task[Any] | None = None
+    ) -> Target:
         """Reserve capacity for a request, queueing it by priority while there is none.
 
+        :param unless: once it ends, the request leaves the queue
         :raises RefusedError: no capacity is expected in time, or no endpoint serves the pool
         """
         started_at = time.monotonic()
@@ -156,7 +160,11 @@
         try:
             # Not asyncio.timeout: it could end the wait in the moment in which capacity is granted.
             timeout = max(0.0, request.queue_deadline - started_at)
-            await asyncio.wait([waiter.target], timeout=timeout)
+            await asyncio.wait(
+                [waiter.target] if unless is None else [waiter.target, unless],
+                timeout=timeout,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
         except asyncio.CancelledError:
             if waiter.target.done():
                 self.release(waiter.target.result())
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay.py
@@ -5,15 +5,13 @@
 from urllib.parse import urlsplit
 
 from ragwortpaddled import telemetry
+from ragwortpaddled.coordination._attempts import DEFAULT_RETRY_AFTER_SECONDS
 from ragwortpaddled.coordination._crash_tracker import CrashTracker
 from ragwortpaddled.coordination._dispatcher import Dispatcher
 from ragwortpaddled.coordination._endpoint_client import EndpointClient
 from ragwortpaddled.coordination._relay_directory import RelayDirectory
-from ragwortpaddled.coordination._relayed_request import (
-    DEFAULT_RETRY_AFTER_SECONDS,
-    RelayedRequest,
-    log_request,
-)
+from ragwortpaddled.coordination._relayed_request import RelayedRequest
+from ragwortpaddled.coordination._request_log import log_request
 from ragwortpaddled.coordination._stall_locator import StallLocator
 from ragwortpaddled.errors import RefusedError
 from ragwortpaddled.protocol import (
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relayed_request.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relayed_request.py
@@ -1,16 +1,17 @@
 """The attempts of one request at endpoints, until its single response is sent."""
 
 import asyncio
-import logging
 import time
-from collections.abc import Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
 from ragwortpaddled import telemetry
+from ragwortpaddled.coordination._attempts import DEFAULT_RETRY_AFTER_SECONDS, Attempts
 from ragwortpaddled.coordination._crash_tracker import CrashTracker
-from ragwortpaddled.coordination._dispatcher import Dispatcher, DispatchRequest, Target
+from ragwortpaddled.coordination._dispatcher import Dispatcher, Target
 from ragwortpaddled.coordination._endpoint_client import EndpointClient, Response
+from ragwortpaddled.coordination._request_log import log_request
 from ragwortpaddled.coordination._stall_locator import StallLocator
 from ragwortpaddled.errors import (
     EndpointError,
@@ -23,26 +24,19 @@
     StalledError,
 )
 from ragwortpaddled.protocol import PathRoute, RelayPool, RelayTeam, RequestKind, RequestMetadata
-from ragwortpaddled.state import EventSplitter, PoolRetryBudget, RequestSize, fingerprint
+from ragwortpaddled.state import EventSplitter, PoolRetryBudget, fingerprint
 from ragwortpaddled.transport import Responder, ServerRequest
 
-# Callers abandon a stream that has not started within 2 s, even if their deadline is later.
-STREAM_WAIT_SECONDS = 1.2
-MAX_WAIT_SHARE = 0.5  # of the time until the deadline; the rest is for processing
 FIRST_EVENT_TIMEOUT_SECONDS = 1.5
 EVENT_TIMEOUT_SECONDS = 0.7  # callers leave after 2 s without an event; a retry prefills first
 MAX_EVENT_BYTES = 256 * 1024  # events have a few hundred bytes; bounds the memory per stream
-MAX_SENDS = 4
 # Of a route's target latency: a healthy endpoint responds within a quarter of it, so one that has
 # used most of it is slow or down, and a retry can still be of use to the caller.
 LATENCY_TARGET_SHARE = 0.8
 MIN_TIMEOUT_SECONDS = 0.15
-DEFAULT_RETRY_AFTER_SECONDS = 0.5
 
 T = TypeVar("T")
 
-logger = logging.getLogger(__name__)
-
 
 @dataclass(eq=False)
 class RelayedRequest:
@@ -65,9 +59,7 @@
     def __post_init__(self) -> None:
         self._splitter = EventSplitter()
         self._splitter.last_id = self.metadata.last_event_id
-        self._excluded_ids: set[str] = set()
         self._may_have_run = False
-        self._possible_runs = 0
         self._timeout: asyncio.Timeout | None = None
         self._end_refusal: RefusedError | None = None  # why the daemon ended the request early
         self._target: Target | None = None  # of an attempt that may still run the request
@@ -78,6 +70,19 @@
             self.request.body,
             self.metadata.prompt_parts,
         )
+        self._attempts = Attempts(
+            self.dispatcher,
+            self.crash_tracker,
+            self.retry_budget,
+            self.metadata,
+            self._fingerprint,
+            self.responder,
+            self.route,
+            self.pool,
+            self.team,
+            self.started_at,
+            self.deadline,
+        )
 
     async def run(self) -> str:
         """Retry until a response is sent; return the outcome for the request counter.
@@ -96,6 +101,8 @@
             if self.may_have_run:
                 self.responder.failure_status = 502
             raise
+        finally:
+            self._attempts.close()
 
     def end(self, refusal: RefusedError) -> None:
         """End the request before its deadline.
@@ -118,26 +125,17 @@
         return await self._end_with_error(502, self._end_refusal.reason)
 
     async def _attempt_until_answered(self) -> str:
-        sends = 0
         while True:
             try:
-                if not self.responder.started:
-                    await self.crash_tracker.admit(self._fingerprint)
-                target = await self.dispatcher.acquire(self._dispatch_request())
+                target = await self._attempts.start()
             except RefusedError as refusal:
                 return await self._end_refused(refusal)
-            sends += 1
             self._target = target
             telemetry.place_wait_seconds.record(target.waited_seconds, {"pool": self.pool.name})
             try:
-                if not self.responder.started:
-                    # The request may have been quarantined while it was queued.
-                    self.crash_tracker.refuse_if_quarantined(self._fingerprint)
                 await self._run_attempt(target)
                 telemetry.attempts.add(1, {"result": "answered"})
                 return "served"
-            except RefusedError as refusal:
-                return await self._end_refused(refusal)
             except NotRunError as error:
                 self._target = None
                 self._record_failure(error, target)
@@ -146,33 +144,14 @@
                 if isinstance(error, ResponseLostError) and not self._began:
                     await self._record_lost_response(target)
                 self._may_have_run = True
-                self._possible_runs += 1
+                self._attempts.possible_runs += 1
                 if not self.route.retryable:
                     return await self._end_with_error(502, error.reason)
             finally:
                 self.dispatcher.release(target)
-            if self._possible_runs >= self.route.max_attempts or sends >= MAX_SENDS:
-                return await self._end_with_error(502, f"all {sends} attempts failed")
-            if not self.retry_budget.try_acquire(self.pool.name):
-                return await self._end_with_error(502, "retry budget exhausted")
-
-    def _dispatch_request(self) -> DispatchRequest:
-        now = time.monotonic()
-        if self.route.request_kind is RequestKind.STREAM:
-            wait = STREAM_WAIT_SECONDS - (0 if self.responder.started else now - self.started_at)
-        else:
-            wait = (self.deadline - now) * MAX_WAIT_SHARE
-        priority = self.route.priority
-        if self.team is not None and self.team.priority is not None:
-            priority = self.team.priority
-        return DispatchRequest(
-            self.pool,
-            RequestSize(self.metadata.prompt_tokens, self.metadata.expected_answer_tokens),
-            priority,
-            now + max(0.0, wait),
-            self.deadline,
-            frozenset(self._excluded_ids),
-        )
+            if self._attempts.exhausted:
+                reason = f"all {self._attempts.sends} attempts failed"
+                return await self._end_with_error(502, reason)
 
     async def _run_attempt(self, target: Target) -> None:
         self._began = False
@@ -201,7 +180,7 @@
         if is_stream:
             response = await self._await_progress(exchange, FIRST_EVENT_TIMEOUT_SECONDS, target)
         else:
-            response = await self._with_timeout(exchange, target)
+            response = await self._await_response(exchange, target)
         try:
             if is_stream and response.status < 300:
                 await self._relay_stream(response, target)
@@ -230,8 +209,11 @@
     async def _relay_complete_response(self, response: Response, target: Target) -> None:
         self._record_began(target)
         body = await response.read_all()
-        if response.status >= 500 and self._may_retry:
-            raise MaybeRunError(target.endpoint.id, f"response status {response.status}")
+        if response.status >= 500:
+            self.dispatcher.release(target)
+            error = MaybeRunError(target.endpoint.id, f"response status {response.status}")
+            if await self._attempts.secure_replacement(error, target):
+                raise error
         if self.responder.started:
             raise MaybeRunError(target.endpoint.id, f"status {response.status} to a resumed stream")
         await self.responder.send(response.status, response.headers, body)
@@ -274,40 +256,57 @@
                 raise MaybeRunError(target.endpoint.id, reason)
         return None
 
-    async def _with_timeout(self, call: Coroutine[Any, Any, Response], target: Target) -> Response:
-        """Time out a slow attempt of a safe request early enough to retry at another endpoint."""
-        if self.route.request_kind is not RequestKind.SAFE or self._is_last_attempt:
+    async def _await_response(
+        self, call: Coroutine[Any, Any, Response], target: Target
+    ) -> Response:
+        """Replace a slow attempt of a safe request early enough for a retry to be of use."""
+        if self.route.request_kind is not RequestKind.SAFE:
             return await call
         limit = max(MIN_TIMEOUT_SECONDS, self.route.target_latency_seconds * LATENCY_TARGET_SHARE)
-        try:
-            async with asyncio.timeout(limit):
-                return await call
-        except TimeoutError as error:
-            raise MaybeRunError(target.endpoint.id, f"no response in {limit:.2f} s") from error
+        slow = MaybeRunError(target.endpoint.id, f"no response in {limit:.2f} s")
+
+        async def return_slow() -> MaybeRunError:
+            return slow
+
+        return await self._await_unless_replaced(call, limit, target, return_slow)
 
     async def _await_progress(
         self, operation: Coroutine[Any, Any, T], seconds: float, target: Target
     ) -> T:
-        """Await an operation of an attempt and check for a stall whenever it makes no progress.
+        """Await an operation of an attempt and locate the fault whenever it makes no progress."""
+
+        async def locate_fault() -> MaybeRunError:
+            stalled_id = await self.stall_locator.locate_stall(target, self.metadata.attempt_id)
+            if stalled_id is None and self._splitter.has_partial:
+                # Only the first engine writes to this connection, so no other can be at fault.
+                return MaybeRunError(target.endpoint.id, f"no complete event for {seconds} s")
+            return StalledError(stalled_id or "", f"no progress for {seconds} s")
+
+        return await self._await_unless_replaced(operation, seconds, target, locate_fault)
+
+    async def _await_unless_replaced(
+        self,
+        operation: Coroutine[Any, Any, T],
+        seconds: float,
+        target: Target,
+        locate_fault: Callable[[], Awaitable[MaybeRunError]],
+    ) -> T:
+        """Await an operation; try to replace the attempt whenever it makes no progress for a time.
 
-        A stall that no engine causes means that a link or the fleet is busy. The request is then
-        moved only to a path with free capacity; a retry on a full fleet would only add load.
+        Silence alone does not end an attempt: its endpoint may still answer.
 
-        :raises StalledError: a retry is better than waiting
+        :raises MaybeRunError: the attempt is given up, and its replacement is secured
         """
         task = asyncio.create_task(operation)
         try:
             while not (await asyncio.wait([task], timeout=seconds))[0]:
-                stalled_id = await self.stall_locator.locate_stall(target, self.metadata.attempt_id)
+                fault = await locate_fault()
                 if task.done():
                     break
-                if self._splitter.has_partial and not stalled_id and self._may_retry:
-                    # Only the first engine writes to this connection, so no other can be at fault.
-                    reason = f"no complete event for {seconds} s"
-                    raise MaybeRunError(target.endpoint.id, reason)
-                self._mark_links_congested(target, stalled_id)
-                if stalled_id or self._has_better_path(target):
-                    raise StalledError(stalled_id or "", f"no progress for {seconds} s")
+                if not fault.endpoint:
+                    self._mark_links_congested(target)
+                if await self._attempts.secure_replacement(fault, target, task):
+                    raise fault
             return task.result()
         finally:
             if not task.done():
@@ -323,22 +322,7 @@
         in_progress = self._target is not None and self._target.may_have_received
         return self._may_have_run or in_progress
 
-    @property
-    def _is_last_attempt(self) -> bool:
-        return self._possible_runs + 1 >= self.route.max_attempts
-
-    @property
-    def _may_retry(self) -> bool:
-        return self.route.retryable and not self._is_last_attempt
-
-    def _has_better_path(self, target: Target) -> bool:
-        return not self._is_last_attempt and self.dispatcher.has_other_path(
-            self._dispatch_request(), target
-        )
-
-    def _mark_links_congested(self, target: Target, stalled_id: str | None) -> None:
-        if stalled_id:
-            return
+    def _mark_links_congested(self, target: Target) -> None:
         for link in target.links:
             seconds = self.dispatcher.mark_congested(link)
             log_request(
@@ -351,7 +335,7 @@
         if isinstance(error, NoRoomError):
             seconds = target.loads.record_overload(error.endpoint)
         elif error.endpoint:
-            self._excluded_ids.add(error.endpoint)
+            self._attempts.excluded_ids.add(error.endpoint)
             lost = isinstance(error, StalledError | NotRunError) and bool(target.path)
             seconds = target.loads.record_failure(error.endpoint, suspected_lost=lost)
         telemetry.attempts.add(1, {"result": type(error).__name__})
@@ -391,14 +375,3 @@
 
 def _to_loop_time(monotonic: float) -> float:
     return asyncio.get_running_loop().time() + monotonic - time.monotonic()
-
-
-def log_request(
-    metadata: RequestMetadata, event: str, *, since: float = 0.0, **fields: object
-) -> None:
-    """Log an event of a request; ``since`` adds the milliseconds since a monotonic time."""
-    if not logger.isEnabledFor(logging.INFO):
-        return
-    if since:
-        fields["ms"] = int((time.monotonic() - since) * 1000)
-    logger.info(event, extra={"request_id": metadata.attempt_id, "fields": fields})
--- a/packages/ragwortpaddled/src/ragwortpaddled/state/_pool_retry_budget.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/_pool_retry_budget.py
@@ -50,13 +50,22 @@
         allowed = self.bounds.ratio * requests + self.bounds.base_retries / self.daemon_count
         return allowed * MAX_BUDGET_UTILIZATION - retries
 
+    def available(self, pool: str) -> bool:
+        """Return whether the budget allows a retry."""
+        return self.remaining(pool) >= self._min_remaining
+
     def try_acquire(self, pool: str) -> bool:
         """Consume one retry; return whether the budget allowed it."""
-        if self.remaining(pool) < self._min_remaining:
+        if not self.available(pool):
             return False
         self._retries_by_pool[pool].append(time.monotonic())
         return True
 
+    def give_back(self, pool: str) -> None:
+        """Return the retry that was consumed last, because it was not sent."""
+        if self._retries_by_pool[pool]:
+            self._retries_by_pool[pool].pop()
+
 
 def _count_recent(times: deque[float], window_start: float) -> int:
     while times and times[0] < window_start:
--- a/packages/standins/src/ragwortpaddle_standins/relay_platform.py
+++ b/packages/standins/src/ragwortpaddle_standins/relay_platform.py
@@ -18,6 +18,7 @@
 EVENT_INTERVAL_SECONDS = 0.005
 STALL_DURATION_SECONDS = 2.0
 PAUSE_DURATION_SECONDS = 1.0
+SILENCE_SECONDS = 1.4
 TRICKLE_INTERVAL_SECONDS = 0.2
 # The system chooses the port; one chosen in advance may be in use by then.
 ANY_PORT_ADDRESS = "127.0.0.1:0"
@@ -438,8 +439,9 @@
     """A plain service that answers with its id.
 
     Faults: ``full`` (503 without running), ``answer lost`` (runs, then resets the connection),
-    ``error`` (runs and answers 500), ``hang`` (runs and never answers), ``crossed`` (answers with
-    the id of another attempt) and ``crossed refusal`` (runs, and refuses another attempt).
+    ``error`` (runs and answers 500), ``hang`` (runs and never answers), ``pause`` (answers a second
+    later), ``crossed`` (answers with the id of another attempt) and ``crossed refusal`` (runs, and
+    refuses another attempt).
     """
 
     async def _handle(self, request: ServerRequest, responder: Responder) -> None:
@@ -454,6 +456,8 @@
             return
         if self.fault == "hang":
             await asyncio.Event().wait()
+        if self.fault == "pause":
+            await asyncio.sleep(PAUSE_DURATION_SECONDS)
         headers = self._response_headers(request)
         if self.fault.startswith("crossed"):
             headers[0] = (b"X-Attempt-Id", b"another")
@@ -472,6 +476,7 @@
     when complete, within an event, or before the first one. ``error``, ``refusal`` and ``missing``
     answer with an error status. A request with a prompt part in
     ``deadly_parts`` crashes the engine when it begins to run; the engine restarts without layers.
+    ``fall_silent`` stops everything for a while, reports too, and then goes on.
     """
 
     event_count = EVENT_COUNT
@@ -491,6 +496,15 @@
         self.engine_by_address: dict[str, Engine] = {}
         self.stalled_address_by_attempt: dict[str, str] = {}
         self.invalid_paths: list[str] = []
+        self._silent_until = 0.0  # on the monotonic clock
+
+    def fall_silent(self, seconds: float = SILENCE_SECONDS) -> None:
+        """Send nothing and run nothing for a time, then go on with everything."""
+        self._silent_until = time.monotonic() + seconds
+
+    async def _wait_out_silence(self) -> None:
+        while (seconds := self._silent_until - time.monotonic()) > 0:
+            await asyncio.sleep(seconds)
 
     def set_peers(self, engines: list["Engine"]) -> None:
         """Set the engines that a path may name, by address."""
@@ -499,6 +513,7 @@
         }
 
     async def _handle(self, request: ServerRequest, responder: Responder) -> None:
+        await self._wait_out_silence()
         if request.target == b"/api/report":
             await self._report(responder)
         elif request.target == b"/api/order":
@@ -668,6 +683,7 @@
         """Simulate the time of one step; stall and fail if a stage of the path is dark."""
         await asyncio.sleep(self.event_interval_seconds)
         for stage in stages:
+            await stage._wait_out_silence()
             if stage.fault == "dark":
                 self.stalled_address_by_attempt[attempt_id] = stage.address
                 await asyncio.sleep(STALL_DURATION_SECONDS)
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -23,10 +23,14 @@
 
 
 class RelayTestBed:
-    """A store, four engines that form two chains, two services of pool "desk", and one daemon."""
+    """A store, four engines that form two chains, two services of pool "desk", and one daemon.
 
-    def __init__(self, directory: Path) -> None:
+    ``settings`` is added to the settings file of each daemon.
+    """
+
+    def __init__(self, directory: Path, settings: str = "") -> None:
         self.directory = directory
+        self.settings = settings
         self.store = Store()
         self.engines = [
             Engine(self.store, f"engine-{i}", "model", "dc-a", 96, "card") for i in range(4)
@@ -61,6 +65,7 @@
             f"ready_listen = {ANY_PORT_ADDRESS}\npeer_listen = {ANY_PORT_ADDRESS}\n"
             f"metrics_listen = {ANY_PORT_ADDRESS}\n[store]\n"
             f"url = http://{store_address}\n[end]\ngrace_seconds = 4\nbalancer_lag_ms = 300\n"
+            + self.settings
         )
         settings = load_relay_settings(path)
         daemon = RelayDaemon(settings, path, PlatformDialect(), PlatformStoreDialect())
--- a/tests/test_pool_retry_budget.py
+++ b/tests/test_pool_retry_budget.py
@@ -41,3 +41,12 @@
         while retry_budget.try_acquire("model"):
             pass
         assert retry_budget.try_acquire("desk")
+
+    def test_retry_that_was_not_sent_is_available_again(self) -> None:
+        retry_budget = PoolRetryBudget(BOUNDS, random.Random(1))
+        while retry_budget.try_acquire("model"):
+            pass
+        assert not retry_budget.available("model")
+        retry_budget.give_back("model")
+        assert retry_budget.try_acquire("model")
+        assert not retry_budget.available("model")
