Accept peers' and engines' sums that end slightly below 0

Found by reading the change of ranges again, seen in no run: the bits on a link are a running sum of floats, and what is left after the last subtraction may be -1e-9. All peers would have refused the messages of a daemon with such a sum, and an engine's report with one in its memory. Such sums have a range on both sides of 0 now; counts of requests, which are 64-bit integers in messages, have none.

--- a/packages/ragwortpaddled/src/ragwortpaddled/protocol/__init__.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/__init__.py
@@ -87,7 +87,7 @@
     VmListing,
     encode_value,
 )
-from ragwortpaddled.protocol._ranges import Count, LayerIndex, Quantity, Slots
+from ragwortpaddled.protocol._ranges import Count, LayerIndex, Measure, Quantity, Slots
 from ragwortpaddled.protocol._refusal import (
     EXECUTED_HEADER,
     REQUEST_ID_HEADER,
@@ -181,6 +181,7 @@
     "LayeredModel",
     "LoadReport",
     "LostRecord",
+    "Measure",
     "MemberState",
     "MemberSummary",
     "ModelEntry",
--- a/packages/ragwortpaddled/src/ragwortpaddled/protocol/_peers.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/_peers.py
@@ -7,7 +7,7 @@
 from ragwortpaddled.protocol._json import shorten
 from ragwortpaddled.protocol._operations import Change, ChangeResult, OperationRecord
 from ragwortpaddled.protocol._platform import ObjectChange
-from ragwortpaddled.protocol._ranges import Count, Quantity
+from ragwortpaddled.protocol._ranges import Count, Measure, Quantity
 from ragwortpaddled.protocol._store_version import Version
 
 
@@ -99,12 +99,12 @@
 
     name: str
     config_version: Count
-    running: dict[str, Count]
+    running: dict[str, int]
     places_layers: bool = False
     suspects: list[str] = []
-    link_bits: list[tuple[list[str], Quantity]] = []
+    link_bits: list[tuple[list[str], Measure]] = []
     endpoints_after: int = 0
-    requests_by_pool: dict[str, Count] = {}
+    requests_by_pool: dict[str, int] = {}
     crash_digest: Count = 0
     crashes: list[CrashReport] = []
     # Milliseconds since the last answer and requests a second, None after the end of a limit.
