--- a/packages/ragwortpaddled/src/ragwortpaddled/protocol/_platform.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/_platform.py
@@ -107,8 +107,7 @@
 class StoreDialect(Protocol):
     """Builds the requests to a store and decodes its replies.
 
-    The decoding methods raise ``ObjectsError`` or ``ValueError`` for a malformed reply. One
-    malformed object in a list hides no other.
+    The decoding methods raise ``ObjectsError`` or ``ValueError`` for a malformed reply.
     """
 
     def get(self, key: str) -> StoreRequest:
