Log whose suspicions make an engine count as lost, and which endpoints a daemon reaches

New lines: an engine becomes or is no longer counted as lost (daemons that suspect it, age of each suspicion and report), a peer's suspicions change, endpoints not reached (at most one line a second), the inputs of the check for a crash. A changed plan names the engines left out, a refusal the number of endpoints that are avoided. No decision depends on any of them.

--- a/packages/ragwortpaddled/src/ragwortpaddled/_relay_daemon.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/_relay_daemon.py
@@ -22,6 +22,7 @@
     RelayDirectory,
     RelayPeers,
     StallLocator,
+    SuspicionLog,
 )
 from ragwortpaddled.errors import SettingsError
 from ragwortpaddled.protocol import Dialect, PlatformClient, StoreDialect
@@ -71,12 +72,14 @@
         retry = settings.retry
         bounds = RetryBudgetBounds(retry.ratio, retry.slack, retry.window_seconds)
         retry_budget = PoolRetryBudget(bounds, random_source)
+        self._suspicion_log = SuspicionLog(self._relay_directory.loads)
         self._peers = RelayPeers(
             self._relay_directory,
             platform,
             retry_budget,
             self._layer_placer,
             self._crash_tracker,
+            self._suspicion_log,
             section.name,
             section.peer_listen,
             random_source,
@@ -152,6 +155,7 @@
             self._dispatcher.run,
             self._endpoint_client.run,
             self._crash_tracker.run,
+            self._suspicion_log.run,
             self._watch_settings,
         ):
             self._start_task(task_function)
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/__init__.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/__init__.py
@@ -38,6 +38,7 @@
 )
 from ragwortpaddled.coordination._signals import Observation, SignalDebouncer, SignalMonitor
 from ragwortpaddled.coordination._stall_locator import StallLocator
+from ragwortpaddled.coordination._suspicion_log import SuspicionLog
 from ragwortpaddled.coordination._version_reconciler import VersionReconciler
 
 __all__ = [
@@ -76,6 +77,7 @@
     "SignalDebouncer",
     "SignalMonitor",
     "StallLocator",
+    "SuspicionLog",
     "Target",
     "TokenBucket",
     "TokenGenerator",
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_crash_tracker.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_crash_tracker.py
@@ -134,7 +134,15 @@
         """Record a response that was lost before it began; return whether the endpoint crashed."""
         key = _crash_key(endpoint)
         known = self.records.has_crashed(key)
-        if not known and await self._endpoint_client.accepts_connections(endpoint.address):
+        accepts = not known and await self._endpoint_client.accepts_connections(endpoint.address)
+        fields = {
+            "endpoint": endpoint.id,
+            "incarnation": endpoint.incarnation,
+            "known": known,
+            "accepts_connections": accepts,
+        }
+        logger.info("lost response checked for a crash", extra={"fields": fields})
+        if accepts:
             return False
         self._own_crash_keys.add(key)
         self.records.record_crash(key, fingerprint)
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_dispatcher.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_dispatcher.py
@@ -330,6 +330,8 @@
         )
         # Jitter: callers refused at the same time must not all retry at the same time.
         seconds *= self._random.uniform(1.0, 1.3)
+        now = time.monotonic()
+        loads = [self._relay_directory.loads.get(e.id) for e in endpoints]
         return RefusedError(
             503,
             "no capacity expected in time",
@@ -339,6 +341,8 @@
             freed_within_ms=int(GRANT_WINDOW_SECONDS * 1000),
             expected_wait_ms=int(wait_seconds * 1000),
             endpoints=len(endpoints),
+            avoided=sum(load.suspect(now) for load in loads),
+            avoided_by_peers=sum(load.suspected_by_peers for load in loads),
             covered=self._has_all_layers(request, endpoints),
         )
 
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_endpoint_client.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_endpoint_client.py
@@ -1,6 +1,7 @@
 """One attempt of a relayed request at one endpoint."""
 
 import asyncio
+import logging
 import time
 
 from ragwortpaddled.coordination._dispatcher import Target
@@ -36,8 +37,12 @@
     }
 )
 
+CONNECTION_LOG_SECONDS = 1.0  # at most one line in this time
+MAX_LOGGED_IDS = 20  # in one line
 IMMEDIATE_REFUSAL_SECONDS = 0.5  # engines wait 2 s for an unreachable peer before refusing
 
+logger = logging.getLogger(__name__)
+
 
 class Response:
     """An endpoint's response: its head, and its body as it arrives."""
@@ -79,6 +84,50 @@
             self._connection.close()
 
 
+class _ConnectionLog:
+    """Counts the endpoints that are reached and those that are not, and logs them together.
+
+    One endpoint that is not reached has a fault of its own; if no endpoint is, the fault is between
+    this daemon and the endpoints.
+    """
+
+    def __init__(self) -> None:
+        self._answered_at = time.monotonic()
+        self._answered_ids: set[str] = set()
+        self._reason_by_unreached_id: dict[str, str] = {}
+        self._broken_ids: set[str] = set()
+
+    def record_answer(self, endpoint_id: str) -> None:
+        """Record that an endpoint has begun to respond."""
+        self._answered_at = time.monotonic()
+        self._answered_ids.add(endpoint_id)
+
+    def record_unreached(self, endpoint_id: str, reason: str) -> None:
+        """Record that a connection to an endpoint could not be opened."""
+        self._reason_by_unreached_id[endpoint_id] = reason
+
+    def record_broken(self, endpoint_id: str) -> None:
+        """Record that a connection broke before the endpoint responded."""
+        self._broken_ids.add(endpoint_id)
+
+    def write(self) -> None:
+        """Log the endpoints since the last call, if there was a failure among them."""
+        if self._reason_by_unreached_id or self._broken_ids:
+            unreached_ids = sorted(self._reason_by_unreached_id)[:MAX_LOGGED_IDS]
+            fields = {
+                "unreached": len(self._reason_by_unreached_id),
+                "endpoints": unreached_ids,
+                "reason": next(iter(self._reason_by_unreached_id.values()), ""),
+                "broken": len(self._broken_ids),
+                "answered": len(self._answered_ids),
+                "last_answer_ms": int((time.monotonic() - self._answered_at) * 1000),
+            }
+            logger.warning("endpoints not reached", extra={"fields": fields})
+        self._answered_ids.clear()
+        self._reason_by_unreached_id.clear()
+        self._broken_ids.clear()
+
+
 class EndpointClient:
     """Sends requests to endpoints and classifies their responses."""
 
@@ -89,6 +138,7 @@
         self._dialect = dialect
         self._loads = loads
         self._request_limits = request_limits
+        self._connection_log = _ConnectionLog()
 
     async def send(
         self,
@@ -110,6 +160,7 @@
         try:
             connection = await self.connections.acquire(endpoint.address, fresh=not route.retryable)
         except NotSentError as error:
+            self._connection_log.record_unreached(endpoint.id, str(error))
             raise NotRunError(endpoint.id, str(error)) from error
         forwarding_metadata = ForwardingMetadata(
             endpoint_id=endpoint.id,
@@ -148,7 +199,9 @@
             await connection.send(request.method, request.target, headers, request.body)
             head = await connection.read_head()
         except ReplyLostError as error:
+            self._connection_log.record_broken(endpoint_id)
             raise ResponseLostError(endpoint_id, str(error)) from error
+        self._connection_log.record_answer(endpoint_id)
         response_metadata = self._dialect.parse_response_headers(head.status, head.headers)
         if response_metadata.attempt_id and response_metadata.attempt_id != metadata.attempt_id:
             # Not even a refusal of another attempt says whether this one has run.
@@ -183,7 +236,8 @@
         return True
 
     async def run(self) -> None:
-        """Close expired idle connections every second, for the life of the daemon."""
+        """Close expired idle connections and log failed ones, for the life of the daemon."""
         while True:
-            await asyncio.sleep(1.0)
+            await asyncio.sleep(CONNECTION_LOG_SECONDS)
             self.connections.close_idle()
+            self._connection_log.write()
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_layer_placer.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_layer_placer.py
@@ -243,6 +243,7 @@
             "chains": len(chains),
             "engines": sum(len(chain) for chain in chains),
             "of": len(engines),
+            "lost": sorted(self._relay_directory.loads.confirmed_lost_ids()),
         }
         logger.info("placement plan changed", extra={"fields": fields})
 
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_peers.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_peers.py
@@ -20,6 +20,7 @@
 from ragwortpaddled.coordination._object_watcher import ObjectWatcher
 from ragwortpaddled.coordination._peer_links import PeerLinks
 from ragwortpaddled.coordination._relay_directory import RelayDirectory
+from ragwortpaddled.coordination._suspicion_log import SuspicionLog
 from ragwortpaddled.errors import (
     ObjectsError,
     PeerRefusedError,
@@ -76,6 +77,7 @@
         retry_budget: PoolRetryBudget,
         layer_placer: LayerPlacer,
         crash_tracker: CrashTracker,
+        suspicion_log: SuspicionLog,
         name: str,
         listen: str,
         random_source: random.Random,
@@ -85,6 +87,7 @@
         self._retry_budget = retry_budget
         self._layer_placer = layer_placer
         self._crash_tracker = crash_tracker
+        self._suspicion_log = suspicion_log
         self._name = name
         self._listen = listen
         self._address = listen
@@ -299,10 +302,12 @@
         self._relay_directory.endpoint_watcher.merge_peer_changes(reply.endpoint_changes)
 
     def _discard_peer_state(self, name: str) -> None:
+        self._suspicion_log.remove_peer(name)
         self._relay_directory.loads.remove_peer(name)
         self._relay_directory.links.update_peer(name, {})
 
     def _merge_peer_state(self, message: RelayNews) -> None:
+        self._suspicion_log.record_peer(message.name, message.suspects)
         self._relay_directory.loads.update_peer(
             message.name, message.running, message.suspects, message.requests_by_pool
         )
--- a/packages/ragwortpaddled/src/ragwortpaddled/state/__init__.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/__init__.py
@@ -11,7 +11,7 @@
 from ragwortpaddled.state._crash_records import CrashRecords
 from ragwortpaddled.state._departures import HOLD_SECONDS, Departures
 from ragwortpaddled.state._drain import DrainPlan, ResponseTimes
-from ragwortpaddled.state._endpoint_loads import EndpointLoad, EndpointLoads
+from ragwortpaddled.state._endpoint_loads import EndpointLoad, EndpointLoads, Suspicion
 from ragwortpaddled.state._endpoints import Circuit, CircuitState, Endpoint, EndpointTable
 from ragwortpaddled.state._event_splitter import EventSplitter
 from ragwortpaddled.state._fair_shares import ShareDemand, local_share, max_min_shares
@@ -135,6 +135,7 @@
     "ShardHead",
     "ShareDemand",
     "Stage",
+    "Suspicion",
     "Team",
     "UnreportedLoads",
     "all_layers_available",
--- a/packages/ragwortpaddled/src/ragwortpaddled/state/_endpoint_loads.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/_endpoint_loads.py
@@ -42,6 +42,7 @@
     consecutive_overloads: int = 0
     refused_at: float = 0.0
     suspected_lost: bool = False
+    suspected_lost_since: float = 0.0
     suspecting_peer_count: int = 0
 
     def other_requests(self, now: float) -> float:
@@ -61,7 +62,12 @@
 
     def suspect(self, now: float) -> bool:
         """Return whether the endpoint is suspected by this daemon or by a quorum of peers."""
-        return now < self.suspect_until or self.suspecting_peer_count >= SUSPICION_QUORUM
+        return now < self.suspect_until or self.suspected_by_peers
+
+    @property
+    def suspected_by_peers(self) -> bool:
+        """Return whether a quorum of peers suspects the endpoint."""
+        return self.suspecting_peer_count >= SUSPICION_QUORUM
 
     def confirmed_lost(self, now: float) -> bool:
         """Return whether a quorum of daemons suspects the engine to be lost."""
@@ -69,12 +75,26 @@
         return own_vote + self.suspecting_peer_count >= SUSPICION_QUORUM
 
 
+@dataclass(frozen=True, slots=True)
+class Suspicion:
+    """A daemon's suspicion that an engine is lost; ``daemon`` is empty for this daemon's own.
+
+    ``age_seconds`` is the time since the daemon was first known to suspect the engine, and
+    ``report_age_seconds`` the time since it last said so.
+    """
+
+    daemon: str
+    age_seconds: float
+    report_age_seconds: float
+
+
 @dataclass(slots=True)
 class _PeerReport:
     received_at: float
     running_by_id: Mapping[str, int]
     requests_by_pool: Mapping[str, int]
     suspect_ids: list[str]
+    suspected_since_by_id: dict[str, float]
 
 
 class EndpointLoads:
@@ -104,6 +124,26 @@
             if load.suspected_lost and now < load.suspect_until
         ]
 
+    def confirmed_lost_ids(self) -> set[str]:
+        """Return the ids of the engines that a quorum of daemons suspects to be lost."""
+        now = time.monotonic()
+        return {
+            endpoint_id for endpoint_id, load in self.load_by_id.items() if load.confirmed_lost(now)
+        }
+
+    def suspicions_of(self, endpoint_id: str) -> list[Suspicion]:
+        """Return the suspicions that an engine is lost, this daemon's own first."""
+        now = time.monotonic()
+        load = self.load_by_id.get(endpoint_id)
+        suspicions = []
+        if load is not None and load.suspected_lost and now < load.suspect_until:
+            suspicions.append(Suspicion("", now - load.suspected_lost_since, 0.0))
+        for name, report in self._report_by_peer.items():
+            since = report.suspected_since_by_id.get(endpoint_id)
+            if since is not None:
+                suspicions.append(Suspicion(name, now - since, now - report.received_at))
+        return suspicions
+
     def update_peer(
         self,
         name: str,
@@ -112,13 +152,20 @@
         requests_by_pool: Mapping[str, int] | None = None,
     ) -> None:
         """Replace the report of a peer: its running requests and its suspicions."""
+        now = time.monotonic()
+        previous = self._report_by_peer.get(name)
+        since_by_id = previous.suspected_since_by_id if previous is not None else {}
         self.remove_peer(name)
         for endpoint_id in suspect_ids:
             self.get(endpoint_id).suspecting_peer_count += 1
         for endpoint_id, count in running_by_id.items():
             self.get(endpoint_id).peer_requests += count
         self._report_by_peer[name] = _PeerReport(
-            time.monotonic(), running_by_id, requests_by_pool or {}, suspect_ids
+            now,
+            running_by_id,
+            requests_by_pool or {},
+            suspect_ids,
+            {endpoint_id: since_by_id.get(endpoint_id, now) for endpoint_id in suspect_ids},
         )
 
     def remove_peer(self, name: str) -> None:
@@ -184,6 +231,9 @@
         """
         load = self.get(endpoint_id)
         load.failures += 1
+        now = time.monotonic()
+        if suspected_lost and not (load.suspected_lost and now < load.suspect_until):
+            load.suspected_lost_since = now
         load.suspected_lost = load.suspected_lost or suspected_lost
         if suspected_lost:
             load.suspect_until = time.monotonic() + LOST_ENGINE_SUSPICION_SECONDS
--- a/tests/test_endpoint_loads.py
+++ b/tests/test_endpoint_loads.py
@@ -81,3 +81,24 @@
         loads.record_overload("e")
         clock.now += 3.9
         assert loads.get("e").suspect(clock.now)
+
+
+class TestSuspicions:
+    def test_lost_engine_names_the_daemons_that_suspect_it(self) -> None:
+        """An engine was planned around, and nothing said whose suspicions had led to that."""
+        loads = EndpointLoads()
+        loads.record_failure("engine-1", suspected_lost=True)
+        loads.update_peer("entry-2", {}, ["engine-1", "engine-2"])
+        assert loads.confirmed_lost_ids() == {"engine-1"}
+        assert [s.daemon for s in loads.suspicions_of("engine-1")] == ["", "entry-2"]
+        assert [s.daemon for s in loads.suspicions_of("engine-2")] == ["entry-2"]
+
+    def test_suspicion_ages_from_the_first_report_of_it(self, clock: Clock) -> None:
+        loads = EndpointLoads()
+        loads.update_peer("entry-2", {}, ["engine-1"])
+        clock.now += 1.5
+        loads.update_peer("entry-2", {}, ["engine-1"])
+        (suspicion,) = loads.suspicions_of("engine-1")
+        assert (suspicion.age_seconds, suspicion.report_age_seconds) == (1.5, 0.0)
+        loads.update_peer("entry-2", {}, [])
+        assert not loads.suspicions_of("engine-1")
