--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -7,6 +7,7 @@
 from typing import Self
 
 from adapter import PlatformDialect, PlatformStoreDialect
+from endpoint_cut import EndpointCut
 from ragwortpaddle_standins.relay_platform import (
     ANY_PORT_ADDRESS,
     API_KEY,
@@ -38,6 +39,12 @@
         self.desks = [Service(self.store, f"desk-{i}", "desk", "dc-a") for i in range(2)]
         self.daemon: RelayDaemon | None = None
         self.pool = Http1Pool()
+        self.cut_by_name: dict[str, EndpointCut] = {}
+
+    @property
+    def endpoint_addresses(self) -> set[str]:
+        """Return the addresses of all endpoints."""
+        return {e.public_address or e.address for e in (*self.engines, *self.desks)}
 
     async def __aenter__(self) -> Self:
         await self.start()
@@ -69,6 +76,8 @@
         )
         settings = load_relay_settings(path)
         daemon = RelayDaemon(settings, path, PlatformDialect(), PlatformStoreDialect())
+        cut = self.cut_by_name[name] = EndpointCut(lambda: self.endpoint_addresses)
+        cut.install(daemon)
         await daemon.start()
         return daemon
 
@@ -166,6 +175,10 @@
                 await daemon.shutdown()
         await self.testbed.stop()
 
+    def cut_of(self, daemon: RelayDaemon) -> EndpointCut:
+        """Return the paths of a daemon to the endpoints, which a test can cut."""
+        return self.testbed.cut_by_name[f"entry-{self.daemons.index(daemon) + 1}"]
+
     def daemon_for(self, number: int) -> RelayDaemon:
         """Return the daemon that gets the request with a number."""
         return self.daemons[number % len(self.daemons)]
