--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_crash_tracker.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_crash_tracker.py
@@ -134,7 +134,9 @@
         """Record a response that was lost before it began; return whether the endpoint crashed."""
         key = _crash_key(endpoint)
         known = self.records.has_crashed(key)
-        accepts = not known and await self._endpoint_client.accepts_connections(endpoint.address)
+        accepts = None  # not tried
+        if not known:
+            accepts = await self._endpoint_client.accepts_connections(endpoint.address)
         fields = {
             "endpoint": endpoint.id,
             "incarnation": endpoint.incarnation,
