--- a/tests/endpoint_cut.py
+++ b/tests/endpoint_cut.py
@@ -49,9 +49,10 @@
     def install(self, daemon: RelayDaemon) -> None:
         """Let a daemon that has not started connect through this object."""
         for pool in (daemon._endpoint_client.connections, daemon._http._pool):
-            self._install_in_pool(pool)
+            self.install_in_pool(pool)
 
-    def _install_in_pool(self, pool: Http1Pool) -> None:
+    def install_in_pool(self, pool: Http1Pool) -> None:
+        """Let a pool without open connections connect through this object."""
         acquire = pool.acquire
 
         async def acquire_through_cut(address: str, *, fresh: bool = False) -> Http1Connection:
