Send attempts through a peer while a VM's own links to the endpoints are lost

Cause: a daemon took what it saw over its own links for the state of the endpoint at their other end, and the fleet counted each daemon as an independent witness.

Change: a daemon that cannot reach an endpoint compares with others first. If it reaches none, its own links are lost: it concludes nothing about endpoints, and sends each attempt, signed and once, through a peer. Two connections find the links' return. An endpoint counts as suspected only if a peer does not reach it either. A lost response is a crash only if a VM with links is refused; a connection that was never opened takes no retry.

--- a/packages/ragwortpaddled/src/ragwortpaddled/_relay_daemon.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/_relay_daemon.py
@@ -6,6 +6,7 @@
 import signal
 import time
 from collections.abc import Callable, Coroutine
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -13,24 +14,38 @@
 from ragwortpaddled._logs import start_stdout_logging
 from ragwortpaddled._relay_settings import RelaySettings, load_relay_settings
 from ragwortpaddled.coordination import (
+    FORWARDING_HEADER_BYTES,
     CrashTracker,
     Dispatcher,
     EndpointClient,
+    EndpointHttp,
     EngineReports,
+    Forwarding,
     LayerPlacer,
+    ReachMonitor,
     Relay,
     RelayDirectory,
     RelayPeers,
+    RequestForwarder,
     StallLocator,
     SuspicionLog,
 )
 from ragwortpaddled.errors import SettingsError
 from ragwortpaddled.protocol import Dialect, PlatformClient, StoreDialect
-from ragwortpaddled.state import CrashCause, DrainPlan, PoolRetryBudget, RetryBudgetBounds
+from ragwortpaddled.state import (
+    CrashCause,
+    DrainPlan,
+    ForwardingPeers,
+    PoolRetryBudget,
+    RetryBudgetBounds,
+)
 from ragwortpaddled.transport import (
     CallerLimits,
     Http1Client,
+    Http1Pool,
     Http1Server,
+    KeyRing,
+    RawHeaders,
     Responder,
     ServerRequest,
 )
@@ -60,15 +75,29 @@
         drain_seconds = settings.store.leave_ms / 1000
         self._relay_directory = RelayDirectory(platform, dialect, random_source, drain_seconds)
         self._dispatcher = Dispatcher(self._relay_directory, section.data_centre, random_source)
+        keys = KeyRing()
+        connections = Http1Pool()
+        self._forwarding_peers = ForwardingPeers(section.data_centre, random_source)
+        self._reach_monitor = ReachMonitor(self._relay_directory, connections, random_source)
         self._endpoint_client = EndpointClient(
-            dialect, self._relay_directory.loads, self._relay_directory.request_limits
+            dialect,
+            self._relay_directory.loads,
+            self._relay_directory.request_limits,
+            self._reach_monitor,
+            connections,
+            self._forwarding_peers,
+            keys,
+        )
+        self._forwarder = RequestForwarder(
+            self._relay_directory, self._reach_monitor, connections, keys, dialect
         )
+        endpoint_http = EndpointHttp(http, self._reach_monitor, self._forwarding_peers, keys)
         holder = f"{section.name}/{time.time_ns()}"
-        reports = EngineReports(http, dialect)
+        reports = EngineReports(endpoint_http, dialect)
         self._layer_placer = LayerPlacer(
-            self._relay_directory, platform, http, dialect, reports, holder
+            self._relay_directory, platform, endpoint_http, dialect, reports, holder
         )
-        self._crash_tracker = CrashTracker(self._endpoint_client, platform, random_source)
+        self._crash_tracker = CrashTracker(self._reach_monitor, platform, random_source)
         retry = settings.retry
         bounds = RetryBudgetBounds(retry.ratio, retry.slack, retry.window_seconds)
         retry_budget = PoolRetryBudget(bounds, random_source)
@@ -80,7 +109,15 @@
             self._layer_placer,
             self._crash_tracker,
             self._suspicion_log,
+            Forwarding(
+                self._reach_monitor,
+                self._forwarder,
+                self._forwarding_peers,
+                keys,
+                lambda: self._forward_server.address if self._forward_server is not None else "",
+            ),
             section.name,
+            section.data_centre,
             section.peer_listen,
             random_source,
         )
@@ -88,20 +125,29 @@
             self._relay_directory,
             self._dispatcher,
             self._endpoint_client,
-            StallLocator(reports),
+            StallLocator(reports, self._reach_monitor),
+            self._reach_monitor,
             self._crash_tracker,
             retry_budget,
             dialect,
             random_source,
         )
-        self._server = Http1Server(
-            section.listen,
-            relay.handle,
-            self._caller_limits,
-            lambda headers: dialect.parse_request_headers(headers).attempt_id,
-        )
+
+        def request_id(headers: RawHeaders) -> str:
+            return dialect.parse_request_headers(headers).attempt_id
+
+        self._server = Http1Server(section.listen, relay.handle, self._caller_limits, request_id)
         self._ready_server = Http1Server(section.ready_listen, self._handle_ready)
         self._metrics_server = Http1Server(section.metrics_listen, _handle_metrics)
+        self._forward_server = (
+            Http1Server(
+                section.forward_listen, self._forwarder.handle, self._forward_limits, request_id
+            )
+            if section.forward_listen
+            else None
+        )
+        servers = (self._ready_server, self._server, self._metrics_server, self._forward_server)
+        self._servers = [server for server in servers if server is not None]
         self._ready_path = dialect.ready_path.encode()
         self._stop_requested = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
@@ -145,7 +191,7 @@
         """Start servers and background tasks; raises ``OSError`` if an address cannot be bound."""
         fields = {"name": self._settings.relay.name, "listen": self._settings.relay.listen}
         logger.info("starting", extra={"fields": fields})
-        for server in (self._ready_server, self._server, self._metrics_server):
+        for server in self._servers:
             await server.start()
         for object_watcher in self._relay_directory.watchers():
             self._start_task(object_watcher.run)
@@ -154,6 +200,7 @@
             self._peers.run,
             self._dispatcher.run,
             self._endpoint_client.run,
+            self._reach_monitor.run,
             self._crash_tracker.run,
             self._suspicion_log.run,
             self._watch_settings,
@@ -182,7 +229,7 @@
         started_at = time.monotonic()
         section = self._settings.end
         plan = DrainPlan.create(started_at, section.grace_seconds, section.balancer_lag_ms / 1000)
-        self._server.draining = True
+        self._server.draining = self._forwarder.draining = True
         self._relay.start_draining(plan)
         logger.info("shutting down", extra={"fields": {"in_flight": self._server.in_flight}})
         await asyncio.sleep(plan.connections_until - started_at)
@@ -196,7 +243,7 @@
             self._relay.end_requests()
             self._server.refuse_partial_requests()
             await self._wait_for_requests(plan.responses_until)
-        for server in (self._server, self._ready_server, self._metrics_server):
+        for server in self._servers:
             server.stop_accepting()
             server.abort("end of the grace period")
         for task in self._tasks:
@@ -206,7 +253,7 @@
                 await asyncio.gather(self._layer_placer.close(), self._peers.close())
         except TimeoutError:
             logger.warning("lease and daemon entry not released before the close timeout")
-        self._endpoint_client.connections.close()
+        self._endpoint_client.close()
         self._http.close()
         summary: dict[str, object] = {
             "ms": int((time.monotonic() - started_at) * 1000),
@@ -216,15 +263,27 @@
 
     async def _wait_for_requests(self, until: float) -> None:
         """Wait until no request is in flight, or until a time on the monotonic clock."""
-        while self._server.in_flight and time.monotonic() < until:
+        while self._in_flight and time.monotonic() < until:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
+    @property
+    def _in_flight(self) -> int:
+        """Return the number of unanswered requests of callers and of peers."""
+        forwarded = self._forward_server.in_flight if self._forward_server is not None else 0
+        return self._server.in_flight + forwarded
+
     def _caller_limits(self) -> CallerLimits:
         config = self._relay_directory.config
         return config.limits if config is not None else CallerLimits()
 
+    def _forward_limits(self) -> CallerLimits:
+        limits = self._caller_limits()
+        return replace(limits, max_header_bytes=limits.max_header_bytes + FORWARDING_HEADER_BYTES)
+
     async def _handle_ready(self, request: ServerRequest, responder: Responder) -> None:
-        ready = self._relay_directory.ready and not self._server.draining
+        # A VM that can send no request to an endpoint should get none.
+        has_link = not self._reach_monitor.cut or bool(self._forwarding_peers.candidates())
+        ready = self._relay_directory.ready and has_link and not self._server.draining
         path_matches = request.target.partition(b"?")[0] == self._ready_path
         status = (200 if ready else 503) if path_matches else 404
         await responder.send(status, [], b"ready" if status == 200 else b"not ready")
--- a/packages/ragwortpaddled/src/ragwortpaddled/_relay_settings.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/_relay_settings.py
@@ -26,6 +26,7 @@
     ready_listen: Address
     peer_listen: Address
     metrics_listen: Address
+    forward_listen: Address | Literal[""] = ""  # for requests that peers pass on; empty for none
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/__init__.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/__init__.py
@@ -14,6 +14,12 @@
 from ragwortpaddled.coordination._engine_reports import EngineReports
 from ragwortpaddled.coordination._explainer import Explainer
 from ragwortpaddled.coordination._fleet_view import FleetView
+from ragwortpaddled.coordination._forwarding import (
+    FORWARDING_HEADER_BYTES,
+    EndpointHttp,
+    Forwarding,
+    RequestForwarder,
+)
 from ragwortpaddled.coordination._generation import GenerationJob, TokenGenerator
 from ragwortpaddled.coordination._layer_placer import LayerPlacer
 from ragwortpaddled.coordination._lease import Lease
@@ -24,6 +30,7 @@
 from ragwortpaddled.coordination._peer_links import PeerLinks
 from ragwortpaddled.coordination._peer_service import PeerService
 from ragwortpaddled.coordination._quarantine import QuarantineTracker, content_digest
+from ragwortpaddled.coordination._reach_monitor import ReachMonitor
 from ragwortpaddled.coordination._recent_requests import RecentRequests, RequestRecord
 from ragwortpaddled.coordination._recovery import RecoveryLimiter, RetryBudget
 from ragwortpaddled.coordination._relay import Relay
@@ -42,6 +49,7 @@
 from ragwortpaddled.coordination._version_reconciler import VersionReconciler
 
 __all__ = [
+    "FORWARDING_HEADER_BYTES",
     "AdmissionController",
     "ChainContext",
     "CrashTracker",
@@ -49,9 +57,11 @@
     "Dispatcher",
     "EndpointClient",
     "EndpointDirectory",
+    "EndpointHttp",
     "EngineReports",
     "Explainer",
     "FleetView",
+    "Forwarding",
     "GenerationJob",
     "LayerPlacer",
     "Lease",
@@ -62,12 +72,14 @@
     "PeerLinks",
     "PeerService",
     "QuarantineTracker",
+    "ReachMonitor",
     "RecentRequests",
     "RecoveryLimiter",
     "Relay",
     "RelayDirectory",
     "RelayPeers",
     "ReleaseTracker",
+    "RequestForwarder",
     "RequestRecord",
     "RetryBudget",
     "SequenceSize",
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_attempts.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_attempts.py
@@ -11,8 +11,18 @@
 
 from ragwortpaddled.coordination._crash_tracker import CrashTracker
 from ragwortpaddled.coordination._dispatcher import Dispatcher, DispatchRequest, Target
+from ragwortpaddled.coordination._reach_monitor import ReachMonitor
 from ragwortpaddled.coordination._request_log import log_request
-from ragwortpaddled.errors import MaybeRunError, RefusedError, StalledError
+from ragwortpaddled.errors import (
+    EndpointError,
+    MaybeRunError,
+    NotRunError,
+    RefusedError,
+    ResponseLostError,
+    StalledError,
+    UnreachableError,
+    UnresponsiveError,
+)
 from ragwortpaddled.protocol import PathRoute, RelayPool, RelayTeam, RequestKind, RequestMetadata
 from ragwortpaddled.state import PoolRetryBudget, RequestFingerprint, RequestSize
 from ragwortpaddled.transport import Responder
@@ -39,9 +49,11 @@
     team: RelayTeam | None
     started_at: float
     deadline: float
+    reach_monitor: ReachMonitor
     sends: int = 0
     possible_runs: int = 0
     excluded_ids: set[str] = field(default_factory=set)
+    _arrivals: int = 0  # attempts that an endpoint may have received
     _replacement: Target | None = None
     _obstacle: str = ""  # what last kept the current attempt from being replaced
 
@@ -69,6 +81,14 @@
         self._obstacle = ""
         return target
 
+    def finish(self, target: Target) -> None:
+        """Release an attempt's target, and its retry if no endpoint can have received it."""
+        if target.may_have_received:
+            self._arrivals += 1
+            self.dispatcher.release(target)
+        else:
+            self._return_unused(target)
+
     def close(self) -> None:
         """Return what was reserved for an attempt that will not be sent."""
         if self._replacement is not None:
@@ -95,8 +115,22 @@
             self._record_kept(fault, target, obstacle)
         return False
 
+    def record_endpoint_failure(self, error: EndpointError, target: Target) -> float:
+        """Suspect an endpoint; return for how many seconds.
+
+        What another engine reports is evidence that it is lost. What only this VM has noticed is
+        verified first.
+        """
+        if isinstance(error, UnreachableError | UnresponsiveError | ResponseLostError):
+            self.reach_monitor.check_endpoint(target.endpoint)
+            if target.path and not isinstance(error, ResponseLostError):
+                return target.loads.record_unreachable(error.endpoint)
+            return target.loads.record_failure(error.endpoint)
+        lost = isinstance(error, StalledError | NotRunError) and bool(target.path)
+        return target.loads.record_failure(error.endpoint, suspected_lost=lost)
+
     async def _acquire(self) -> Target:
-        is_retry = self.sends > 0
+        is_retry = self._arrivals > 0
         if is_retry and not self.retry_budget.available(self.pool.name):
             raise _budget_refusal()
         if not self.responder.started:
@@ -105,11 +139,13 @@
         if is_retry and not self.retry_budget.try_acquire(self.pool.name):
             self.dispatcher.release(target)
             raise _budget_refusal()
+        target.holds_retry = is_retry
         return target
 
     def _return_unused(self, target: Target) -> None:
         self.dispatcher.release(target)
-        if self.sends:
+        if target.holds_retry:
+            target.holds_retry = False
             self.retry_budget.give_back(self.pool.name)
 
     def _take_retry(self, task: asyncio.Task[Any] | None) -> bool:
@@ -127,13 +163,14 @@
         moved only if another path has capacity; a retry on a full fleet would only add load.
         """
         request = self._dispatch_request(fault.endpoint)
-        if not fault.endpoint and not self.dispatcher.has_other_path(request, target):
+        unexplained = is_unexplained_stall(fault)
+        if unexplained and not self.dispatcher.has_other_path(request, target):
             return None
         try:
             replacement = await self.dispatcher.acquire(request, unless=task)
         except RefusedError:
             return None
-        if not fault.endpoint and replacement.path == target.path:
+        if unexplained and replacement.path == target.path:
             self.dispatcher.release(replacement)
             return None
         return replacement
@@ -154,7 +191,7 @@
         """Record that an attempt goes on; other requests avoid its silent engine meanwhile."""
         silent = isinstance(fault, StalledError) and bool(fault.endpoint)
         if silent and not target.loads.get(fault.endpoint).suspect(time.monotonic()):
-            target.loads.record_failure(fault.endpoint, suspected_lost=bool(target.path))
+            self.record_endpoint_failure(fault, target)
         if obstacle == self._obstacle:
             return
         self._obstacle = obstacle
@@ -186,5 +223,10 @@
         )
 
 
+def is_unexplained_stall(fault: MaybeRunError) -> bool:
+    """Return whether neither an engine nor this VM's links explain a stall."""
+    return isinstance(fault, StalledError) and not fault.endpoint
+
+
 def _budget_refusal() -> RefusedError:
     return RefusedError(503, "retry budget exhausted", DEFAULT_RETRY_AFTER_SECONDS)
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_crash_tracker.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_crash_tracker.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from ragwortpaddled import telemetry
-from ragwortpaddled.coordination._endpoint_client import EndpointClient
+from ragwortpaddled.coordination._reach_monitor import ReachMonitor
 from ragwortpaddled.errors import ObjectsError, PlatformError, RefusedError, VersionConflictError
 from ragwortpaddled.protocol import (
     ABSENT_VERSION,
@@ -75,12 +75,12 @@
 
     def __init__(
         self,
-        endpoint_client: EndpointClient,
+        reach_monitor: ReachMonitor,
         platform: PlatformClient,
         random_source: random.Random,
     ) -> None:
         self.records = CrashRecords(random_source.uniform(0.0, RELEASE_SPREAD_SECONDS))
-        self._endpoint_client = endpoint_client
+        self._reach_monitor = reach_monitor
         self._platform = platform
         self._random = random_source
         self._change_listeners: list[Callable[[], None]] = []
@@ -136,7 +136,7 @@
         known = self.records.has_crashed(key)
         accepts = None  # not tried
         if not known:
-            accepts = await self._endpoint_client.accepts_connections(endpoint.address)
+            accepts = await self._reach_monitor.accepts_connections(endpoint)
         fields = {
             "endpoint": endpoint.id,
             "incarnation": endpoint.incarnation,
@@ -144,7 +144,7 @@
             "accepts_connections": accepts,
         }
         logger.info("lost response checked for a crash", extra={"fields": fields})
-        if accepts:
+        if not known and accepts is not False:
             return False
         self._own_crash_keys.add(key)
         self.records.record_crash(key, fingerprint)
--- /dev/null
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_reach_monitor.py
@@ -0,0 +1,250 @@
+"""Tells failures of endpoints from the loss of this VM's own links to them.
+
+When an endpoint cannot be reached, the monitor opens connections to some others. If none accepts
+one, the VM itself is cut off: it concludes nothing about the endpoint and sends its requests
+through peers, while the monitor looks for the links' return. Otherwise a peer is asked about the
+endpoint, and only what neither of them reaches for some time is reported as lost.
+"""
+
+import asyncio
+import logging
+import random
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable, Iterable
+
+from ragwortpaddled.coordination._relay_directory import RelayDirectory
+from ragwortpaddled.errors import NotSentError
+from ragwortpaddled.protocol import EndpointEntry
+from ragwortpaddled.state import MIN_UNREACHABLE_ENDPOINTS, EndpointReach
+from ragwortpaddled.transport import Http1Pool
+
+MAX_COMPARED_ENDPOINTS = 4  # a data centre that is lost holds fewer of a random sample
+PROBED_ENDPOINTS = 2  # in each round while the links are lost; new connections are billed
+PROBE_INTERVAL_SECONDS = 0.5
+# While several endpoints stream to this VM, an event arrives every few milliseconds.
+MAX_SILENCE_SECONDS = 0.25
+SILENCE_POLL_SECONDS = 0.1
+MIN_CHECK_INTERVAL_SECONDS = 1.0  # between checks for silence
+# A healthy endpoint may not respond for about a second.
+MIN_UNREACHABLE_SECONDS = 1.5
+
+# Asks a peer whether an address accepts connections; None if no peer can tell.
+PeerProbe = Callable[[str], Awaitable[bool | None]]
+
+logger = logging.getLogger(__name__)
+
+
+class ReachMonitor:
+    """Checks unreachable endpoints, and this VM's own links."""
+
+    def __init__(
+        self,
+        relay_directory: RelayDirectory,
+        connections: Http1Pool,
+        random_source: random.Random,
+    ) -> None:
+        self._relay_directory = relay_directory
+        self._connections = connections
+        self._random = random_source
+        self._reach = EndpointReach()
+        self._peer_probe: PeerProbe | None = None
+        self._check_task: asyncio.Task[None] | None = None
+        self._verify_task_by_id: dict[str, asyncio.Task[None]] = {}
+        self._open_streams_by_address: Counter[str] = Counter()
+        self._received_at = 0.0  # on the monotonic clock
+        self._silence_checked_at = 0.0
+        self._links_lost: asyncio.Future[None] | None = None
+
+    @property
+    def cut(self) -> bool:
+        """Return whether this VM is cut off from the endpoints."""
+        return self._reach.cut
+
+    @property
+    def links_lost(self) -> asyncio.Future[None]:
+        """Return a future that ends when the links are lost; not to be awaited while they are."""
+        if self._links_lost is None:
+            self._links_lost = asyncio.get_running_loop().create_future()
+        return self._links_lost
+
+    def record_stream_opened(self, address: str) -> None:
+        """Record that an endpoint has begun to stream a response to this VM."""
+        self._open_streams_by_address[address] += 1
+
+    def record_received(self) -> None:
+        """Record that a part of a stream has arrived."""
+        self._received_at = time.monotonic()
+
+    def record_stream_closed(self, address: str) -> None:
+        """Record the end of a stream."""
+        self._open_streams_by_address[address] -= 1
+        if not self._open_streams_by_address[address]:
+            del self._open_streams_by_address[address]
+
+    def set_peer_probe(self, probe: PeerProbe) -> None:
+        """Set the function that asks a peer about an endpoint."""
+        self._peer_probe = probe
+
+    async def has_lost_links(self, unreachable_address: str) -> bool:
+        """Return whether the links are lost, after a connection to an endpoint has failed."""
+        if not self.cut:
+            await self._check_links(unreachable_address)
+        return self.cut
+
+    def check_endpoint(self, entry: EndpointEntry) -> None:
+        """Find out in the background whether an endpoint that did not respond is lost."""
+        if entry.id in self._verify_task_by_id:
+            return
+        task = asyncio.create_task(self._verify_lost(entry))
+        self._verify_task_by_id[entry.id] = task
+        task.add_done_callback(lambda _: self._verify_task_by_id.pop(entry.id, None))
+
+    async def accepts_connections(self, entry: EndpointEntry) -> bool | None:
+        """Return whether an endpoint accepts a new connection: one that has crashed does not.
+
+        None means that neither this VM nor a peer can tell.
+        """
+        if not self.cut and await self._connects(entry.address):
+            return True
+        cut = await self.has_lost_links(entry.address)
+        accepts = await self._ask_peer(entry.address)
+        if accepts is None and not cut:
+            return False
+        return accepts
+
+    async def probe(self, address: str) -> bool | None:
+        """Return whether an endpoint accepts connections from this VM, None while it is cut off.
+
+        Answers a peer that cannot reach the endpoint.
+        """
+        entry = self._relay_directory.entry_at(address)
+        if self.cut or entry is None:
+            return None
+        if await self._connects(address):
+            return True
+        if await self.has_lost_links(address):
+            return None
+        self.check_endpoint(entry)
+        return False
+
+    async def run(self) -> None:
+        """Look for the loss and the return of the links, for the life of the daemon."""
+        while True:
+            if self.cut:
+                await asyncio.sleep(PROBE_INTERVAL_SECONDS * self._random.uniform(0.8, 1.2))
+                self._record(await self._connect_to(self._sample(PROBED_ENDPOINTS)))
+                continue
+            await asyncio.sleep(SILENCE_POLL_SECONDS)
+            if self._all_streams_silent():
+                self._silence_checked_at = time.monotonic()
+                await self._check_links()
+
+    def _all_streams_silent(self) -> bool:
+        now = time.monotonic()
+        return (
+            len(self._open_streams_by_address) >= MIN_UNREACHABLE_ENDPOINTS
+            and now - self._received_at > MAX_SILENCE_SECONDS
+            and now - self._silence_checked_at > MIN_CHECK_INTERVAL_SECONDS
+        )
+
+    async def _check_links(self, unreachable_address: str = "") -> None:
+        """Connect to some endpoints; concurrent calls share one check."""
+        if self._check_task is None:
+            self._check_task = asyncio.create_task(self._check(unreachable_address))
+            self._check_task.add_done_callback(self._end_check)
+        await asyncio.shield(self._check_task)
+
+    async def _check(self, unreachable_address: str) -> None:
+        others = self._sample(MAX_COMPARED_ENDPOINTS, excluded_address=unreachable_address)
+        connected_by_address = await self._connect_to(others)
+        if unreachable_address:
+            connected_by_address[unreachable_address] = False
+        self._record(connected_by_address)
+
+    def _end_check(self, task: asyncio.Task[None]) -> None:
+        self._check_task = None
+        if not task.cancelled() and task.exception() is not None:
+            logger.error("check of the links to endpoints failed", exc_info=task.exception())
+
+    async def _verify_lost(self, entry: EndpointEntry) -> None:
+        """Report an endpoint as lost if neither this VM nor a peer reaches it for some time."""
+        failed_at = time.monotonic()
+        while True:
+            reachable = await self._connects(entry.address)
+            if not reachable and await self.has_lost_links(entry.address):
+                return
+            from_peer = None if reachable else await self._ask_peer(entry.address)
+            unreachable_seconds = time.monotonic() - failed_at
+            fields = {
+                "endpoint": entry.id,
+                "reachable": reachable,
+                "reachable_from_peer": from_peer,
+                "unreachable_ms": int(unreachable_seconds * 1000),
+            }
+            if reachable or from_peer is not False:
+                logger.info("endpoint not confirmed as lost", extra={"fields": fields})
+                return
+            if unreachable_seconds >= MIN_UNREACHABLE_SECONDS:
+                break
+            await asyncio.sleep(MIN_UNREACHABLE_SECONDS - unreachable_seconds)
+        if self._relay_directory.entry_by_id.get(entry.id) == entry:
+            self._relay_directory.loads.record_lost(entry.id)
+            logger.warning("endpoint lost", extra={"fields": fields})
+
+    async def _ask_peer(self, address: str) -> bool | None:
+        return await self._peer_probe(address) if self._peer_probe is not None else None
+
+    def _sample(self, count: int, *, excluded_address: str = "") -> list[str]:
+        addresses = {
+            entry.address
+            for entry in self._relay_directory.entry_by_id.values()
+            if not entry.leaving
+        }
+        others = sorted(addresses - {excluded_address})
+        return self._random.sample(others, min(count, len(others)))
+
+    async def _connect_to(self, addresses: Iterable[str]) -> dict[str, bool]:
+        """Return whether each endpoint accepts a connection; stop after the first that does."""
+        task_by_address = {
+            address: asyncio.create_task(self._connects(address)) for address in addresses
+        }
+        pending = set(task_by_address.values())
+        try:
+            while pending:
+                done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+                if any(task.result() for task in done):
+                    break
+        finally:
+            for task in pending:
+                task.cancel()
+        return {
+            address: task.result()
+            for address, task in task_by_address.items()
+            if task not in pending
+        }
+
+    async def _connects(self, address: str) -> bool:
+        try:
+            connection = await self._connections.acquire(address, fresh=True)
+        except NotSentError:
+            return False
+        connection.close()
+        return True
+
+    def _record(self, connected_by_address: dict[str, bool]) -> None:
+        lasted_seconds = time.monotonic() - self._reach.changed_at
+        if not self._reach.record_probes(connected_by_address):
+            return
+        fields = {
+            "connected_by_address": connected_by_address,
+            "lasted_ms": int(lasted_seconds * 1000),
+        }
+        if self.cut:
+            self._connections.close()  # idle connections may be cut silently
+            self._relay_directory.loads.forget_own_failures()
+            self.links_lost.set_result(None)
+            self._links_lost = None
+            logger.warning("links to the endpoints lost", extra={"fields": fields})
+        else:
+            logger.info("links to the endpoints are back", extra={"fields": fields})
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay.py
@@ -9,6 +9,7 @@
 from ragwortpaddled.coordination._crash_tracker import CrashTracker
 from ragwortpaddled.coordination._dispatcher import Dispatcher
 from ragwortpaddled.coordination._endpoint_client import EndpointClient
+from ragwortpaddled.coordination._reach_monitor import ReachMonitor
 from ragwortpaddled.coordination._relay_directory import RelayDirectory
 from ragwortpaddled.coordination._relayed_request import RelayedRequest
 from ragwortpaddled.coordination._request_log import log_request
@@ -38,6 +39,7 @@
         dispatcher: Dispatcher,
         endpoint_client: EndpointClient,
         stall_locator: StallLocator,
+        reach_monitor: ReachMonitor,
         crash_tracker: CrashTracker,
         retry_budget: PoolRetryBudget,
         dialect: Dialect,
@@ -47,6 +49,7 @@
         self._dispatcher = dispatcher
         self._endpoint_client = endpoint_client
         self._stall_locator = stall_locator
+        self._reach_monitor = reach_monitor
         self._crash_tracker = crash_tracker
         self._retry_budget = retry_budget
         self._dialect = dialect
@@ -117,6 +120,7 @@
             dispatcher=self._dispatcher,
             endpoint_client=self._endpoint_client,
             stall_locator=self._stall_locator,
+            reach_monitor=self._reach_monitor,
             crash_tracker=self._crash_tracker,
             retry_budget=self._retry_budget,
             request=request,
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_directory.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_directory.py
@@ -56,6 +56,7 @@
         self.links = LinkLoads()
         self.request_limits = RequestLimits(random_source)
         self.entry_by_id: dict[str, EndpointEntry] = {}
+        self._id_by_address: dict[str, str] = {}
         self._departures = Departures()
         self._ids_by_pool: defaultdict[str, set[str]] = defaultdict(set)
         self._dialect = dialect
@@ -106,6 +107,11 @@
         """Return the registered endpoints of a pool."""
         return [self.entry_by_id[endpoint_id] for endpoint_id in self._ids_by_pool[pool]]
 
+    def entry_at(self, address: str) -> EndpointEntry | None:
+        """Return the endpoint that was registered last at an address."""
+        endpoint_id = self._id_by_address.get(address)
+        return None if endpoint_id is None else self.entry_by_id[endpoint_id]
+
     def may_have_left(self, entry: EndpointEntry) -> bool:
         """Return whether an endpoint's removal is deferred; it serves only if no other can."""
         key = self._dialect.endpoints_prefix + entry.id
@@ -169,6 +175,8 @@
             return
         if previous is not None:
             self._ids_by_pool[previous.pool].discard(endpoint_id)
+            if self._id_by_address.get(previous.address) == endpoint_id:
+                del self._id_by_address[previous.address]
         if entry is None:
             self.entry_by_id.pop(endpoint_id, None)
             self.loads.remove_unlisted(set(self.entry_by_id))
@@ -180,6 +188,7 @@
             self.loads.record_success(endpoint_id)
         self.entry_by_id[endpoint_id] = entry
         self._ids_by_pool[entry.pool].add(endpoint_id)
+        self._id_by_address[entry.address] = endpoint_id
         fields = {
             "endpoint": endpoint_id,
             "address": entry.address,
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_peers.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_peers.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from ragwortpaddled.coordination._crash_tracker import CrashTracker
+from ragwortpaddled.coordination._forwarding import Forwarding
 from ragwortpaddled.coordination._layer_placer import LayerPlacer
 from ragwortpaddled.coordination._object_watcher import ObjectWatcher
 from ragwortpaddled.coordination._peer_links import PeerLinks
@@ -31,6 +32,8 @@
 from ragwortpaddled.protocol import (
     ABSENT_VERSION,
     PlatformClient,
+    ProbeEndpoint,
+    ProbeEndpointReply,
     RelayNews,
     RelayNewsReply,
     StoredObject,
@@ -39,8 +42,8 @@
     encode_message,
     era_of,
 )
-from ragwortpaddled.state import PoolRetryBudget
-from ragwortpaddled.transport import KeyRing, PeerServer, parse_address
+from ragwortpaddled.state import ForwardingPeer, PoolRetryBudget
+from ragwortpaddled.transport import PeerServer, parse_address
 
 DAEMONS_PREFIX = "daemons/"
 PEER_KEY_OBJECT = "keys/peers"
@@ -50,6 +53,8 @@
 GOSSIP_INTERVAL_SECONDS = 0.4  # a configuration reaches 9 daemons in 2 or 3 rounds
 GOSSIP_FANOUT = 2
 EXCHANGE_TIMEOUT_SECONDS = 0.5
+PROBE_TIMEOUT_SECONDS = 1.0  # the peer may compare with other endpoints
+MAX_PROBING_PEERS = 2
 MIN_ROUND_INTERVAL_SECONDS = 0.1  # between rounds that news of crashes starts
 CRASH_PUSH_SECONDS = 2.0  # records that changed before are only sent on request
 JOIN_RETRY_SECONDS = 1.0
@@ -61,6 +66,8 @@
 
 class _DaemonEntry(msgspec.Struct, frozen=True):
     address: str
+    data_centre: str = ""
+    forward_address: str = ""  # for requests to pass on to endpoints; empty if it takes none
 
     def __post_init__(self) -> None:
         host, _ = parse_address(self.address)
@@ -78,7 +85,9 @@
         layer_placer: LayerPlacer,
         crash_tracker: CrashTracker,
         suspicion_log: SuspicionLog,
+        forwarding: Forwarding,
         name: str,
+        data_centre: str,
         listen: str,
         random_source: random.Random,
     ) -> None:
@@ -88,11 +97,13 @@
         self._layer_placer = layer_placer
         self._crash_tracker = crash_tracker
         self._suspicion_log = suspicion_log
+        self._forwarding = forwarding
         self._name = name
+        self._data_centre = data_centre
         self._listen = listen
         self._address = listen
         self._random = random_source
-        self._keys = KeyRing()
+        self._keys = forwarding.keys
         self._key_text = ""
         self._joined_era = 0
         self._rejoin_task: asyncio.Task[None] | None = None
@@ -113,6 +124,7 @@
         self._last_round_at = 0.0
         self._round_timer: asyncio.TimerHandle | None = None
         crash_tracker.add_change_listener(self._gossip_soon)
+        forwarding.reach_monitor.set_peer_probe(self._probe_by_peer)
 
     @property
     def reachable(self) -> set[str]:
@@ -221,7 +233,8 @@
         self._key_text = text
 
     def _entry_value(self) -> str:
-        return msgspec.json.encode(_DaemonEntry(self._address)).decode()
+        entry = _DaemonEntry(self._address, self._data_centre, self._forwarding.address())
+        return msgspec.json.encode(entry).decode()
 
     async def _register(self) -> None:
         key = DAEMONS_PREFIX + self._name
@@ -239,6 +252,7 @@
             self._address_by_name.pop(name, None)
             self._reachable.discard(name)
             self._discard_peer_state(name)
+            self._forwarding.peers.remove(name)
         else:
             try:
                 entry = decode_json(stored.value, _DaemonEntry)
@@ -247,6 +261,10 @@
                 logger.warning("malformed daemon entry ignored", extra={"fields": fields})
                 return
             self._address_by_name[name] = entry.address
+            if entry.forward_address:
+                self._forwarding.peers.add(
+                    ForwardingPeer(name, entry.forward_address, entry.data_centre)
+                )
         self._update_daemon_counts()
 
     def _update_daemon_counts(self) -> None:
@@ -305,6 +323,7 @@
         self._suspicion_log.remove_peer(name)
         self._relay_directory.loads.remove_peer(name)
         self._relay_directory.links.update_peer(name, {})
+        self._forwarding.peers.set_available(name, False)
 
     def _merge_peer_state(self, message: RelayNews) -> None:
         self._suspicion_log.record_peer(message.name, message.suspects)
@@ -320,6 +339,7 @@
         )
         self._crash_tracker.merge(message.crashes)
         self._relay_directory.merge_departures(message.departures)
+        self._forwarding.peers.set_available(message.name, message.forwards)
 
     def _own_state(self, *, with_crashes: bool) -> RelayNews:
         crash_records = self._crash_tracker.records
@@ -341,10 +361,32 @@
             self._relay_directory.request_limits.reports(),
             self._layer_placer.highest_fencing_token,
             self._relay_directory.departures(),
+            self._forwarding.forwarder.available,
         )
 
+    async def _probe_by_peer(self, address: str) -> bool | None:
+        """Ask a peer whether an endpoint accepts connections; None if none can tell."""
+        for peer in self._forwarding.peers.candidates()[:MAX_PROBING_PEERS]:
+            peer_address = self._address_by_name.get(peer.name)
+            if peer_address is None:
+                continue
+            try:
+                reply = await self._links.request(
+                    peer_address, ProbeEndpoint(address), PROBE_TIMEOUT_SECONDS
+                )
+            except TransportError as error:
+                fields = {"peer": peer.name, "address": address, "reason": str(error)}
+                logger.info("peer did not probe an endpoint", extra={"fields": fields})
+                continue
+            if isinstance(reply, ProbeEndpointReply) and reply.accepts is not None:
+                return reply.accepts
+        return None
+
     async def _handle_message(self, body: bytes) -> bytes:
         message = decode_message(body)
+        if isinstance(message, ProbeEndpoint):
+            accepts = await self._forwarding.reach_monitor.probe(message.address)
+            return encode_message(ProbeEndpointReply(accepts))
         if not isinstance(message, RelayNews):
             raise PeerRefusedError(
                 f"unexpected message type {type(message).__name__}, expected RelayNews"
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relayed_request.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relayed_request.py
@@ -7,14 +7,20 @@
 from typing import Any, TypeVar
 
 from ragwortpaddled import telemetry
-from ragwortpaddled.coordination._attempts import DEFAULT_RETRY_AFTER_SECONDS, Attempts
+from ragwortpaddled.coordination._attempts import (
+    DEFAULT_RETRY_AFTER_SECONDS,
+    Attempts,
+    is_unexplained_stall,
+)
 from ragwortpaddled.coordination._crash_tracker import CrashTracker
 from ragwortpaddled.coordination._dispatcher import Dispatcher, Target
-from ragwortpaddled.coordination._endpoint_client import EndpointClient, Response
+from ragwortpaddled.coordination._endpoint_client import Attempt, EndpointClient, Response
+from ragwortpaddled.coordination._reach_monitor import ReachMonitor
 from ragwortpaddled.coordination._request_log import log_request
 from ragwortpaddled.coordination._stall_locator import StallLocator
 from ragwortpaddled.errors import (
     EndpointError,
+    LinksLostError,
     MaybeRunError,
     NoRoomError,
     NotRunError,
@@ -22,6 +28,7 @@
     ReplyLostError,
     ResponseLostError,
     StalledError,
+    UnresponsiveError,
 )
 from ragwortpaddled.protocol import PathRoute, RelayPool, RelayTeam, RequestKind, RequestMetadata
 from ragwortpaddled.state import EventSplitter, PoolRetryBudget, fingerprint
@@ -29,6 +36,8 @@
 
 FIRST_EVENT_TIMEOUT_SECONDS = 1.5
 EVENT_TIMEOUT_SECONDS = 0.7  # callers leave after 2 s without an event; a retry prefills first
+LOST_LINK_SILENCE_SECONDS = 0.25
+LINKS_LOST_REASON = "the links to the endpoints are lost"
 MAX_EVENT_BYTES = 256 * 1024  # events have a few hundred bytes; bounds the memory per stream
 # Of a route's target latency: a healthy endpoint responds within a quarter of it, so one that has
 # used most of it is slow or down, and a retry can still be of use to the caller.
@@ -45,6 +54,7 @@
     dispatcher: Dispatcher
     endpoint_client: EndpointClient
     stall_locator: StallLocator
+    reach_monitor: ReachMonitor
     crash_tracker: CrashTracker
     retry_budget: PoolRetryBudget
     request: ServerRequest
@@ -82,6 +92,7 @@
             self.team,
             self.started_at,
             self.deadline,
+            self.reach_monitor,
         )
 
     async def run(self) -> str:
@@ -127,6 +138,7 @@
     async def _attempt_until_answered(self) -> str:
         while True:
             try:
+                self.endpoint_client.refuse_without_links()
                 target = await self._attempts.start()
             except RefusedError as refusal:
                 return await self._end_refused(refusal)
@@ -136,6 +148,8 @@
                 await self._run_attempt(target)
                 telemetry.attempts.add(1, {"result": "answered"})
                 return "served"
+            except RefusedError as refusal:
+                return await self._end_refused(refusal)
             except NotRunError as error:
                 self._target = None
                 self._record_failure(error, target)
@@ -148,7 +162,7 @@
                 if not self.route.retryable:
                     return await self._end_with_error(502, error.reason)
             finally:
-                self.dispatcher.release(target)
+                self._attempts.finish(target)
             if self._attempts.exhausted:
                 reason = f"all {self._attempts.sends} attempts failed"
                 return await self._end_with_error(502, reason)
@@ -168,15 +182,16 @@
             resume=self._splitter.last_id,
         )
         is_stream = self.route.request_kind is RequestKind.STREAM
-        exchange = self.endpoint_client.send(
+        attempt = Attempt(
             self.request,
             self.metadata,
             target,
             self.route,
-            deadline=self.deadline,
-            team=self.team.name if self.team else "",
-            last_event_id=self._splitter.last_id,
+            self.deadline,
+            self.team.name if self.team else "",
+            self._splitter.last_id,
         )
+        exchange = self.endpoint_client.send(attempt)
         if is_stream:
             response = await self._await_progress(exchange, FIRST_EVENT_TIMEOUT_SECONDS, target)
         else:
@@ -263,12 +278,13 @@
         if self.route.request_kind is not RequestKind.SAFE:
             return await call
         limit = max(MIN_TIMEOUT_SECONDS, self.route.target_latency_seconds * LATENCY_TARGET_SHARE)
-        slow = MaybeRunError(target.endpoint.id, f"no response in {limit:.2f} s")
 
-        async def return_slow() -> MaybeRunError:
-            return slow
+        async def locate_fault() -> MaybeRunError:
+            if self._uses_lost_links(target):
+                return LinksLostError("", LINKS_LOST_REASON)
+            return UnresponsiveError(target.endpoint.id, f"no response in {limit:.2f} s")
 
-        return await self._await_unless_replaced(call, limit, target, return_slow)
+        return await self._await_unless_replaced(call, limit, target, locate_fault)
 
     async def _await_progress(
         self, operation: Coroutine[Any, Any, T], seconds: float, target: Target
@@ -276,11 +292,14 @@
         """Await an operation of an attempt and locate the fault whenever it makes no progress."""
 
         async def locate_fault() -> MaybeRunError:
-            stalled_id = await self.stall_locator.locate_stall(target, self.metadata.attempt_id)
-            if stalled_id is None and self._splitter.has_partial:
+            stall = await self.stall_locator.locate_stall(target, self.metadata.attempt_id)
+            if stall.links_lost:
+                return LinksLostError("", LINKS_LOST_REASON)
+            if not stall.endpoint_id and self._splitter.has_partial:
                 # Only the first engine writes to this connection, so no other can be at fault.
                 return MaybeRunError(target.endpoint.id, f"no complete event for {seconds} s")
-            return StalledError(stalled_id or "", f"no progress for {seconds} s")
+            error_type = UnresponsiveError if stall.unresponsive else StalledError
+            return error_type(stall.endpoint_id, f"no progress for {seconds} s")
 
         return await self._await_unless_replaced(operation, seconds, target, locate_fault)
 
@@ -299,11 +318,11 @@
         """
         task = asyncio.create_task(operation)
         try:
-            while not (await asyncio.wait([task], timeout=seconds))[0]:
+            while not await self._ends_in_time(task, seconds, target):
                 fault = await locate_fault()
                 if task.done():
                     break
-                if not fault.endpoint:
+                if is_unexplained_stall(fault):
                     self._mark_links_congested(target)
                 if await self._attempts.secure_replacement(fault, target, task):
                     raise fault
@@ -316,6 +335,22 @@
                 # Mark the operation's error as retrieved; this method ends for another reason.
                 task.exception()
 
+    async def _ends_in_time(self, task: asyncio.Task[T], seconds: float, target: Target) -> bool:
+        """Return whether a task ends in time; wait less if it uses links that are being lost."""
+        started_at = time.monotonic()
+        waited: list[asyncio.Future[Any]] = [task]
+        if not (self.reach_monitor.cut or target.peer):
+            waited.append(self.reach_monitor.links_lost)
+        await asyncio.wait(waited, timeout=seconds, return_when=asyncio.FIRST_COMPLETED)
+        elapsed_seconds = time.monotonic() - started_at
+        if not task.done() and elapsed_seconds < LOST_LINK_SILENCE_SECONDS:
+            # An existing connection may outlast the loss of the links.
+            await asyncio.wait([task], timeout=seconds - elapsed_seconds)
+        return task.done()
+
+    def _uses_lost_links(self, target: Target) -> bool:
+        return self.reach_monitor.cut and not target.peer and target.may_have_received
+
     @property
     def may_have_run(self) -> bool:
         """Return whether an endpoint may have run the request, or may be running it."""
@@ -332,12 +367,12 @@
     def _record_failure(self, error: EndpointError, target: Target) -> None:
         self._splitter.discard_partial()
         seconds = 0.0
+        links_lost = self.reach_monitor.cut and not target.peer
         if isinstance(error, NoRoomError):
             seconds = target.loads.record_overload(error.endpoint)
-        elif error.endpoint:
+        elif error.endpoint and not links_lost:
             self._attempts.excluded_ids.add(error.endpoint)
-            lost = isinstance(error, StalledError | NotRunError) and bool(target.path)
-            seconds = target.loads.record_failure(error.endpoint, suspected_lost=lost)
+            seconds = self._attempts.record_endpoint_failure(error, target)
         telemetry.attempts.add(1, {"result": type(error).__name__})
         log_request(
             self.metadata,
@@ -347,6 +382,8 @@
             not_run=isinstance(error, NotRunError),
             began=self._began,
             suspect_ms=int(seconds * 1000),
+            peer=target.peer,
+            links_lost=links_lost,
             last_event=self._splitter.last_id,
             budget_left=int(self.retry_budget.remaining(self.pool.name)),
         )
--- a/packages/ragwortpaddled/src/ragwortpaddled/errors.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/errors.py
@@ -95,6 +95,14 @@
     """An endpoint has not run a request and will not run it later."""
 
 
+class UnreachableError(NotRunError):
+    """No connection to an endpoint could be made, so nothing was sent."""
+
+
+class PeerUnavailableError(NotRunError):
+    """A peer does not forward requests to endpoints at present."""
+
+
 class NoRoomError(NotRunError):
     """An endpoint rejected a request without delay, so it is up but has no capacity."""
 
@@ -111,6 +119,14 @@
     """A request made no progress; ``endpoint`` is the engine that caused it, or empty."""
 
 
+class UnresponsiveError(StalledError):
+    """A request made no progress, and its engine did not respond to a report request either."""
+
+
+class LinksLostError(MaybeRunError):
+    """A request was sent over links to the endpoints that are lost; ``endpoint`` is empty."""
+
+
 class RefusedError(RagwortpaddleError):
     """A request is rejected before any endpoint ran it; ``inputs`` explain the decision."""
 
--- a/packages/ragwortpaddled/src/ragwortpaddled/protocol/_peers.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/_peers.py
@@ -112,6 +112,7 @@
     fencing_token: Version = 0  # the highest that the daemon knows of
     # Incarnation and store era of endpoints that left before a recent restore of the store.
     departures: dict[str, tuple[Count, Count]] = {}
+    forwards: bool = False  # whether the sender can pass requests on to endpoints
 
 
 class RelayNewsReply(msgspec.Struct, frozen=True, tag="relay_news_reply"):
@@ -122,6 +123,18 @@
     endpoint_changes: list[ObjectChange] = []
 
 
+class ProbeEndpoint(msgspec.Struct, frozen=True, tag="probe_endpoint"):
+    """Asks whether an endpoint accepts connections from the receiver's VM."""
+
+    address: str
+
+
+class ProbeEndpointReply(msgspec.Struct, frozen=True, tag="probe_endpoint_reply"):
+    """Whether the endpoint accepts connections; None if the responder cannot tell."""
+
+    accepts: bool | None
+
+
 class Acknowledged(msgspec.Struct, frozen=True, tag="acknowledged"):
     """Confirms that the message was processed."""
 
@@ -139,6 +152,8 @@
     | KeepRecord
     | RelayNews
     | RelayNewsReply
+    | ProbeEndpoint
+    | ProbeEndpointReply
     | Acknowledged
 )
 
--- a/packages/ragwortpaddled/src/ragwortpaddled/state/__init__.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/__init__.py
@@ -12,9 +12,11 @@
 from ragwortpaddled.state._departures import HOLD_SECONDS, Departures
 from ragwortpaddled.state._drain import DrainPlan, ResponseTimes
 from ragwortpaddled.state._endpoint_loads import EndpointLoad, EndpointLoads, Suspicion
+from ragwortpaddled.state._endpoint_reach import MIN_UNREACHABLE_ENDPOINTS, EndpointReach
 from ragwortpaddled.state._endpoints import Circuit, CircuitState, Endpoint, EndpointTable
 from ragwortpaddled.state._event_splitter import EventSplitter
 from ragwortpaddled.state._fair_shares import ShareDemand, local_share, max_min_shares
+from ragwortpaddled.state._forwarding_peers import ForwardingPeer, ForwardingPeers
 from ragwortpaddled.state._gossip_table import GossipTable
 from ragwortpaddled.state._layer_paths import (
     NO_UNREPORTED_LOAD,
@@ -92,6 +94,7 @@
     "MAX_HEAD_BYTES",
     "MAX_KEY_BYTES",
     "MAX_RECORDED_BODY_BYTES",
+    "MIN_UNREACHABLE_ENDPOINTS",
     "NO_UNREPORTED_LOAD",
     "OBJECTS_PREFIX",
     "RECORD_TTL_SECONDS",
@@ -108,9 +111,12 @@
     "Endpoint",
     "EndpointLoad",
     "EndpointLoads",
+    "EndpointReach",
     "EndpointTable",
     "Engine",
     "EventSplitter",
+    "ForwardingPeer",
+    "ForwardingPeers",
     "GossipTable",
     "Limit",
     "Link",
--- a/packages/ragwortpaddled/src/ragwortpaddled/state/_endpoint_loads.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/_endpoint_loads.py
@@ -223,6 +223,20 @@
         load.reported_other_requests = max(0, running - load.own_requests)
         load.reported_at = time.monotonic()
 
+    def record_unreachable(self, endpoint_id: str) -> float:
+        """Avoid an engine that this daemon could not reach; return for how many seconds.
+
+        Peers are not told: only the own link to the engine may have failed.
+        """
+        load = self.get(endpoint_id)
+        load.failures += 1
+        load.suspect_until = time.monotonic() + LOST_ENGINE_SUSPICION_SECONDS
+        return LOST_ENGINE_SUSPICION_SECONDS
+
+    def record_lost(self, endpoint_id: str) -> float:
+        """Suspect an engine to be lost, and tell peers so; return for how many seconds."""
+        return self.record_failure(endpoint_id, suspected_lost=True)
+
     def record_failure(self, endpoint_id: str, *, suspected_lost: bool = False) -> float:
         """Record a failure and suspect the endpoint; return for how many seconds.
 
@@ -242,6 +256,13 @@
         load.suspect_until = time.monotonic() + seconds
         return seconds
 
+    def forget_own_failures(self) -> None:
+        """End all suspicions of this daemon, since its links to the endpoints were at fault."""
+        for load in self.load_by_id.values():
+            load.failures = 0
+            load.suspected_lost = False
+            load.suspect_until = 0.0
+
     def record_overload(self, endpoint_id: str) -> float:
         """Back off from an endpoint that refused a request; return for how many seconds.
 
--- a/packages/ragwortpaddled/src/ragwortpaddled/telemetry.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/telemetry.py
@@ -75,6 +75,9 @@
 attempts = _meter.create_counter(
     "ragwortpaddle_attempts", description="Attempts at endpoints by result"
 )
+forwarded_requests = _meter.create_counter(
+    "ragwortpaddle_forwarded_requests", description="Requests forwarded for peers by result"
+)
 platform_calls = _meter.create_counter(
     "ragwortpaddle_platform_calls", description="Calls to the platform by purpose and result"
 )
--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/__init__.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/__init__.py
@@ -21,7 +21,13 @@
     Responder,
     ServerRequest,
 )
-from ragwortpaddled.transport._http_messages import HttpExchange, HttpReply
+from ragwortpaddled.transport._http_messages import (
+    Headers,
+    HttpExchange,
+    HttpReply,
+    first_value,
+    without_hop_by_hop_headers,
+)
 from ragwortpaddled.transport._keyring import KeyRing
 from ragwortpaddled.transport._peer_socket import PeerClient, PeerHandler, PeerServer
 
@@ -31,6 +37,7 @@
 
 __all__ = [
     "CallerLimits",
+    "Headers",
     "Http1Client",
     "Http1Connection",
     "Http1Pool",
@@ -47,7 +54,9 @@
     "Responder",
     "ResponseHead",
     "ServerRequest",
+    "first_value",
     "parse_address",
+    "without_hop_by_hop_headers",
 ]
 
 _MODULE_BY_NAME = {"HttpClient": "_http_client", "HttpServer": "_http_server"}
--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_http_messages.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_http_messages.py
@@ -8,6 +8,25 @@
 
 Headers = Iterable[tuple[bytes, bytes]]
 
+# Hop-by-hop headers (RFC 9110, 7.6.1), and Content-Length, which is set again for each hop.
+_HOP_BY_HOP_HEADERS = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+    }
+)
+
+
+def without_hop_by_hop_headers(headers: Headers) -> list[tuple[bytes, bytes]]:
+    """Return the headers that are forwarded to the next hop."""
+    return [(name, value) for name, value in headers if name.lower() not in _HOP_BY_HOP_HEADERS]
+
 
 def first_value(headers: Headers, name: bytes) -> bytes | None:
     """Return the first value of a header, None if it is absent; names are case-insensitive."""
