Cut daemons off from all endpoints in the soak

One or two of the three daemons lose their links to all endpoints for 1 to 8 s while callers, the store and the other daemons reach them: existing connections are silent, reset or live on, new ones hang or are refused. Each daemon has a proxy of its own to each endpoint. A proxy accepts a connection before it can know who opened it, so a cut that starts there would look like working links to a daemon, which connects to find out. Therefore endpoints are registered at an address where nothing listens, and a small launcher makes the process connect to its own proxies instead; the kernel then answers a SYN over a cut link with a reset or not at all.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -5,20 +5,22 @@
 import sys
 import tempfile
 import time
+from collections.abc import Callable, Coroutine
 from pathlib import Path
 
 import defopt
 
 from soak._callers import ROUTES, Callers
-from soak._faults import FAULTS
-from soak._installation import OPTIONAL_ROUTE, Installation
-from soak._invariants import find_violations
+from soak._faults import FAULTS, cut_off_daemons
+from soak._installation import DISTURBANCE_GRACE_SECONDS, OPTIONAL_ROUTE, Installation
+from soak._invariants import compare_service, find_violations
 
 CALLER_COUNT = 10
 CALLER_PAUSE_SECONDS = 0.08
 PROBE_INTERVAL_SECONDS = 0.2
 MEAN_FAULT_INTERVAL_SECONDS = 0.7  # shorter than most faults last, so that several overlap
 RECOVERY_TIMEOUT_SECONDS = 12.0  # the platform's limit for serving again after the last fault
+MIN_UNDISTURBED_CUT_SECONDS = 5.0  # service is compared only from 3 s after its start
 MAX_STALL_SECONDS = 0.4  # time limits cannot be checked when the machine stalls longer
 
 
@@ -35,9 +37,16 @@
         ]
         caller_tasks.append(asyncio.create_task(_probe_optional_route(callers)))
         await _inject_faults(installation, seconds)
+        await _cut_off_undisturbed(installation)
         callers.stopping = True
         await asyncio.gather(*caller_tasks)
         recovery_violations = await _check_recovery(callers)
+        served, served_elsewhere = compare_service(installation, callers.records)
+        print(
+            f"  served {sum(served)} of {len(served)} requests at daemons that were cut off, "
+            f"{sum(served_elsewhere)} of {len(served_elsewhere)} at the others",
+            flush=True,
+        )
         return find_violations(installation, callers.records) + recovery_violations
     finally:
         stall_monitor.cancel()
@@ -54,10 +63,26 @@
         )
         fault = installation.random_source.choice(FAULTS)
         print(f"  {time.monotonic() - installation.started_at:6.2f} s {fault.__name__}", flush=True)
-        tasks.append(asyncio.create_task(fault(installation)))
+        tasks.append(asyncio.create_task(_call_fault(fault, installation)))
     await asyncio.gather(*tasks)
 
 
+async def _call_fault(
+    fault: Callable[[Installation], Coroutine[None, None, None]], installation: Installation
+) -> None:
+    """Inject a fault and record its start and end times."""
+    started_at = time.monotonic()
+    await fault(installation)
+    installation.fault_calls.append((fault, started_at, time.monotonic()))
+
+
+async def _cut_off_undisturbed(installation: Installation) -> None:
+    """Cut daemons off once more when nothing else is disturbed, so that their service shows."""
+    disturbed_until = max(daemon.disturbed_until for daemon in installation.daemons)
+    await asyncio.sleep(max(DISTURBANCE_GRACE_SECONDS, disturbed_until - time.monotonic()))
+    await cut_off_daemons(installation, MIN_UNDISTURBED_CUT_SECONDS)
+
+
 async def _probe_optional_route(callers: Callers) -> None:
     """Send requests on the optional route, each on a new connection, until callers stop."""
     while not callers.stopping:
@@ -90,7 +115,7 @@
                 flush=True,
             )
             for daemon in installation.daemons:
-                daemon.mark_disturbed(1.0)
+                daemon.mark_disturbed(1.0, started_at)
 
 
 def main(*, first: int = 1, count: int = 1, seconds: float = 20.0, logs: Path | None = None) -> int:
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -8,10 +8,11 @@
 from ragwortpaddle_standins.relay_platform import Endpoint
 
 from soak._installation import DISTURBANCE_GRACE_SECONDS, MAX_WITHDRAWAL_LAG_SECONDS, Installation
-from soak._proxy import Mode
+from soak._proxy import Cut, Mode
 
 MIN_SERVICES = 2
 MIN_ENGINES = 4
+MAX_CUT_SECONDS = 8.0
 
 
 async def kill(installation: Installation) -> None:
@@ -112,14 +113,35 @@
 async def disturb_endpoint_link(installation: Installation) -> None:
     """Disturb the network link to an endpoint."""
     active = [e for e in installation.endpoints if e.withdrawn_at is None]
-    proxy = installation.proxy_by_endpoint[installation.random_source.choice(active).id]
-    proxy.mode = installation.random_source.choice(
+    proxies = installation.proxies_by_endpoint[installation.random_source.choice(active).id]
+    mode = installation.random_source.choice(
         [Mode.DELAY, Mode.DROP, Mode.DROP_RESPONSES, Mode.RESET]
     )
-    if proxy.mode is Mode.RESET:
-        proxy.reset()
+    for proxy in proxies:
+        proxy.mode = mode
+        if mode is Mode.RESET:
+            proxy.reset()
     await asyncio.sleep(installation.random_source.uniform(0.2, 2.0))
-    proxy.mode = Mode.FORWARD
+    for proxy in proxies:
+        proxy.mode = Mode.FORWARD
+
+
+async def cut_off_daemons(installation: Installation, min_seconds: float = 1.0) -> None:
+    """Cut one or two daemons off from all endpoints; all others still reach them."""
+    count = installation.random_source.choice([1, 2])
+    daemons = [
+        daemon
+        for daemon in installation.random_source.sample(installation.daemons, count)
+        if daemon.cut is None
+    ]
+    cut = installation.random_source.choice(list(Cut))
+    seconds = installation.random_source.uniform(min_seconds, MAX_CUT_SECONDS)
+    for daemon in daemons:
+        print(f"         {daemon.name} {cut} for {seconds:.2f} s", flush=True)
+        daemon.start_cut(cut)
+    await asyncio.sleep(seconds)
+    for daemon in daemons:
+        await daemon.end_cut()
 
 
 async def fail_endpoint_requests(installation: Installation) -> None:
@@ -173,9 +195,20 @@
     disturb_store,
     restore_store,
     disturb_endpoint_link,
+    cut_off_daemons,
     fail_endpoint_requests,
     replace_endpoint,
     replace_endpoint,
     publish_configuration,
     publish_configuration,
 ]
+# An endpoint may break off requests during these faults and shortly after.
+BREAKING_FAULTS = (disturb_endpoint_link, fail_endpoint_requests)
+# These disturb the service of all daemons.
+SHARED_FAULTS = (
+    *BREAKING_FAULTS,
+    reject_at_store,
+    disturb_store,
+    restore_store,
+    replace_endpoint,
+)
--- a/soak/_installation.py
+++ b/soak/_installation.py
@@ -4,6 +4,7 @@
 import random
 import socket
 import time
+from collections.abc import Callable
 from pathlib import Path
 
 from ragwortpaddle_standins.relay_platform import (
@@ -16,11 +17,13 @@
 )
 
 from soak._daemon import START_TIMEOUT_SECONDS, Daemon
+from soak._linked_daemon import ENDPOINT_HOST
 from soak._proxy import Proxy
 
 DISTURBANCE_GRACE_SECONDS = 3.0  # time limits apply again this long after a disturbance
 MAX_WITHDRAWAL_LAG_SECONDS = 2.0  # the platform's limit on new requests to a withdrawn endpoint
 DAEMON_COUNT = 3
+DAEMON_PORT_COUNT = 5
 CHAIN_COUNT = 3  # each of two engines
 SERVICE_COUNT = 3
 FIXED_PORT_RANGE = (10_000, 30_000)  # below the ephemeral ports
@@ -35,13 +38,15 @@
         self.store = Store()
         self.engines: list[Engine] = []
         self.services: list[Service] = []
-        self.proxy_by_endpoint: dict[str, Proxy] = {}
+        self.proxies_by_endpoint: dict[str, list[Proxy]] = {}  # one for each daemon
         self.store_frontends = [StoreFrontend(self.store) for _ in range(DAEMON_COUNT)]
         self.store_proxies: list[Proxy] = []
         self.daemons: list[Daemon] = []
         self.configuration_version = 1
         self.started_at = time.monotonic()
         self.store_outages: list[tuple[float, float]] = []  # start and end times
+        # The fault functions that were called, with start and end times.
+        self.fault_calls: list[tuple[Callable[..., object], float, float]] = []
         self.optional_route_history: list[tuple[float, bool]] = []
         self._directory = directory
         self._endpoint_numbers = iter(range(1000))
@@ -54,18 +59,20 @@
     async def start(self) -> None:
         """Start everything, wait until every engine has layers, then for one more second."""
         self.publish(with_optional_route=False)
-        for _ in range(2 * CHAIN_COUNT):
-            await self.add_engine()
-        for _ in range(SERVICE_COUNT):
-            await self.add_service()
         for index, frontend in enumerate(self.store_frontends):
             await frontend.start()
             proxy = Proxy(frontend.address)
             await proxy.start()
             self.store_proxies.append(proxy)
+            ports = [_find_free_port("127.0.0.1") for _ in range(DAEMON_PORT_COUNT)]
+            link_host = f"127.0.1.{index + 1}"
             self.daemons.append(
-                Daemon(f"entry-{index}", self._directory, proxy.address, _find_free_ports(4))
+                Daemon(f"entry-{index}", self._directory, proxy.address, ports, link_host)
             )
+        for _ in range(2 * CHAIN_COUNT):
+            await self.add_engine()
+        for _ in range(SERVICE_COUNT):
+            await self.add_service()
         await asyncio.gather(*(daemon.start() for daemon in self.daemons))
         deadline = time.monotonic() + START_TIMEOUT_SECONDS
         while not all(engine.layers for engine in self.engines):
@@ -77,7 +84,8 @@
     async def stop(self) -> None:
         """Stop the daemons, then the proxies, endpoints and store addresses."""
         await asyncio.gather(*(daemon.stop() for daemon in self.daemons))
-        for proxy in (*self.proxy_by_endpoint.values(), *self.store_proxies):
+        links = [link for daemon in self.daemons for link in daemon.links]
+        for proxy in (*links, *self.store_proxies):
             await proxy.stop()
         for endpoint in self.endpoints:
             endpoint.stop()
@@ -97,41 +105,49 @@
         self.optional_route_history.append((time.monotonic(), with_optional_route))
 
     async def add_engine(self) -> Engine:
-        """Start an engine without layers behind a proxy."""
+        """Start an engine without layers behind proxies."""
         engine = Engine(
             self.store, f"engine-{next(self._endpoint_numbers)}", "model", "dc-a", 96, "card"
         )
         self.engines.append(engine)
-        await self._start_behind_proxy(engine)
+        await self._start_behind_proxies(engine)
         for known_engine in self.engines:
             known_engine.set_peers(self.engines)
         return engine
 
     async def add_service(self) -> Service:
-        """Start a plain service behind a proxy."""
+        """Start a plain service behind proxies."""
         service = Service(self.store, f"desk-{next(self._endpoint_numbers)}", "desk", "dc-a")
         self.services.append(service)
-        await self._start_behind_proxy(service)
+        await self._start_behind_proxies(service)
         return service
 
-    async def _start_behind_proxy(self, endpoint: Endpoint) -> None:
+    async def _start_behind_proxies(self, endpoint: Endpoint) -> None:
+        """Start an endpoint that each daemon reaches over a link of its own."""
+        port = _find_free_port(*(daemon.link_host for daemon in self.daemons))
+        links = []
+        for daemon in self.daemons:
+            link = Proxy()
+            await link.start(daemon.link_host, port)
+            if daemon.cut is not None:
+                link.start_cut(daemon.cut)
+            daemon.links.append(link)
+            links.append(link)
+        self.proxies_by_endpoint[endpoint.id] = links
+        endpoint.public_address = f"{ENDPOINT_HOST}:{port}"
         await endpoint.start()
-        proxy = Proxy(endpoint.address)
-        await proxy.start()
-        self.proxy_by_endpoint[endpoint.id] = proxy
-        endpoint.public_address = proxy.address
-        endpoint.register()
+        for link in links:
+            link.target = endpoint.address
 
 
-def _find_free_ports(count: int) -> list[int]:
-    """Return free ports below the ephemeral range, so that no outgoing connection takes them."""
+def _find_free_port(*hosts: str) -> int:
+    """Return a port that is free at some hosts and that no outgoing connection takes."""
     port_random_source = random.SystemRandom()
-    ports: list[int] = []
-    while len(ports) < count:
+    while True:
         port = port_random_source.randrange(*FIXED_PORT_RANGE)
         try:
-            socket.create_server(("127.0.0.1", port)).close()
+            for host in hosts:
+                socket.create_server((host, port)).close()
         except OSError:
             continue
-        ports.append(port)
-    return ports
+        return port
--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -1,11 +1,20 @@
-"""A loopback TCP proxy that can delay or drop data in one or both directions or reset."""
+"""A loopback TCP proxy that can delay or drop data in one or both directions, reset or be cut."""
 
 import asyncio
 import contextlib
+import ctypes
+import socket
+import struct
 from enum import StrEnum
 
 CHUNK_BYTES = 65536
 DELAY_SECONDS = 0.15
+POLL_INTERVAL_SECONDS = 0.05
+# From <asm-generic/socket.h>; the socket module does not define them.
+SO_ATTACH_FILTER = 26
+SO_DETACH_FILTER = 27
+_DROP_PROGRAM = ctypes.create_string_buffer(struct.pack("HBBI", 0x06, 0, 0, 0))  # BPF: return 0
+DROP_FILTER = struct.pack("HL", 1, ctypes.addressof(_DROP_PROGRAM))
 
 
 class Mode(StrEnum):
@@ -18,27 +27,39 @@
     RESET = "reset"
 
 
+class Cut(StrEnum):
+    """What a cut link does with connections."""
+
+    HANG = "hang"  # existing ones are silent in both directions, connecting gets no answer
+    RESET = "reset"  # existing ones are reset, new ones are refused
+    REFUSE = "refuse"  # existing ones live on, new ones are refused
+
+
 class Proxy:
-    """Forwards connections to one address, subject to the current mode."""
+    """Forwards connections to one address, subject to the current mode, unless it is cut."""
 
-    def __init__(self, target: str) -> None:
+    def __init__(self, target: str = "") -> None:
+        self.target = target
         self.mode = Mode.FORWARD
         self.address = ""
-        self._target = target
-        self._server: asyncio.Server | None = None
+        self._cut: Cut | None = None
+        self._listener: socket.socket
+        self._server: asyncio.Server
         self._writers: set[asyncio.StreamWriter] = set()
+        self._client_writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
-    async def start(self) -> None:
-        """Listen on a loopback port that the system chooses."""
-        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
-        host, port = self._server.sockets[0].getsockname()
+    async def start(self, host: str = "127.0.0.1", port: int = 0) -> None:
+        """Listen on a loopback port, by default one that the system chooses."""
+        self._listener = socket.create_server((host, port))
+        host, port = self._listener.getsockname()
         self.address = f"{host}:{port}"
+        await self._listen()
 
     async def stop(self) -> None:
         """Stop listening, reset every connection and cancel the forwarding tasks."""
-        if self._server is not None:
-            self._server.close()
+        self._server.close()
+        self._listener.close()
         self.reset()
         for task in self._tasks:
             task.cancel()
@@ -49,14 +70,44 @@
         for writer in self._writers:
             writer.transport.abort()
 
+    def start_cut(self, cut: Cut) -> None:
+        """Cut the link between the clients and this proxy."""
+        self._cut = cut
+        if cut is Cut.HANG:
+            self._listener.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, DROP_FILTER)
+            for writer in self._client_writers:
+                _set_option(writer, SO_ATTACH_FILTER, DROP_FILTER)
+            return
+        self._server.close()
+        self._listener.shutdown(socket.SHUT_RDWR)  # refuses connections, but keeps the port
+        if cut is Cut.RESET:
+            self.reset()
+
+    async def end_cut(self) -> None:
+        """Repair the link; what was sent over a silent connection arrives if it still lives."""
+        cut, self._cut = self._cut, None
+        if cut is not Cut.HANG:
+            await self._listen()
+            return
+        self._listener.setsockopt(socket.SOL_SOCKET, SO_DETACH_FILTER, 0)
+        for writer in self._client_writers:
+            _set_option(writer, SO_DETACH_FILTER, 0)
+
+    async def _listen(self) -> None:
+        self._server = await asyncio.start_server(self._accept, sock=self._listener.dup())
+
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        if self.mode is Mode.RESET:
+        if self.mode is Mode.RESET or self._cut is Cut.RESET:
             writer.transport.abort()
             return
-        host, _, port = self._target.rpartition(":")
+        if self._cut is Cut.HANG:
+            _set_option(writer, SO_ATTACH_FILTER, DROP_FILTER)
+        self._client_writers.add(writer)
+        host, _, port = self.target.rpartition(":")
         try:
             target_reader, target_writer = await asyncio.open_connection(host, int(port))
         except OSError:
+            self._client_writers.discard(writer)
             writer.transport.abort()
             return
         for opened_writer in (writer, target_writer):
@@ -76,6 +127,7 @@
             while data := await source.read(CHUNK_BYTES):
                 if self.mode is Mode.DELAY:
                     await asyncio.sleep(DELAY_SECONDS)
+                await self._wait_until_not_silent()
                 # Dropped data is lost, so the connection is unusable and is reset afterwards.
                 if self.mode is Mode.DROP or (self.mode is Mode.DROP_RESPONSES and is_response):
                     await self._wait_until_not_dropping()
@@ -83,9 +135,22 @@
                     break
                 sink.write(data)
                 await sink.drain()
+        await self._wait_until_not_silent()
         sink.close()
         self._writers.discard(sink)
+        self._client_writers.discard(sink)
 
     async def _wait_until_not_dropping(self) -> None:
         while self.mode in (Mode.DROP, Mode.DROP_RESPONSES):
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(POLL_INTERVAL_SECONDS)
+
+    async def _wait_until_not_silent(self) -> None:
+        while self._cut is Cut.HANG:
+            await asyncio.sleep(POLL_INTERVAL_SECONDS)
+
+
+def _set_option(writer: asyncio.StreamWriter, option: int, value: bytes | int) -> None:
+    """Set an option of a connection's socket unless the connection is lost."""
+    sock = writer.get_extra_info("socket")
+    if sock.fileno() >= 0:
+        sock.setsockopt(socket.SOL_SOCKET, option, value)
