--- a/soak/_installation.py
+++ b/soak/_installation.py
@@ -64,7 +64,7 @@
             proxy = Proxy(frontend.address)
             await proxy.start()
             self.store_proxies.append(proxy)
-            ports = [_find_free_port("127.0.0.1") for _ in range(DAEMON_PORT_COUNT)]
+            ports = [find_free_port("127.0.0.1") for _ in range(DAEMON_PORT_COUNT)]
             link_host = f"127.0.1.{index + 1}"
             self.daemons.append(
                 Daemon(f"entry-{index}", self._directory, proxy.address, ports, link_host)
@@ -124,7 +124,7 @@
 
     async def _start_behind_proxies(self, endpoint: Endpoint) -> None:
         """Start an endpoint that each daemon reaches over a link of its own."""
-        port = _find_free_port(*(daemon.link_host for daemon in self.daemons))
+        port = find_free_port(*(daemon.link_host for daemon in self.daemons))
         links = []
         for daemon in self.daemons:
             link = Proxy()
@@ -140,7 +140,7 @@
             link.target = endpoint.address
 
 
-def _find_free_port(*hosts: str) -> int:
+def find_free_port(*hosts: str) -> int:
     """Return a port that is free at some hosts and that no outgoing connection takes."""
     port_random_source = random.SystemRandom()
     while True:
--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -68,10 +68,10 @@
     def reset(self) -> None:
         """Reset every connection."""
         for writer in self._writers:
-            writer.transport.abort()
+            _reset(writer)
 
     def start_cut(self, cut: Cut) -> None:
-        """Cut the link between the clients and this proxy."""
+        """Cut the link between the clients and this proxy, which needs a fixed port."""
         self._cut = cut
         if cut is Cut.HANG:
             self._listener.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, DROP_FILTER)
@@ -98,20 +98,21 @@
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if self.mode is Mode.RESET or self._cut is Cut.RESET:
-            writer.transport.abort()
+            _reset(writer)
             return
         if self._cut is Cut.HANG:
             _set_option(writer, SO_ATTACH_FILTER, DROP_FILTER)
         self._client_writers.add(writer)
+        self._writers.add(writer)  # before the next await, so that a reset meanwhile finds it
         host, _, port = self.target.rpartition(":")
         try:
             target_reader, target_writer = await asyncio.open_connection(host, int(port))
         except OSError:
             self._client_writers.discard(writer)
-            writer.transport.abort()
+            self._writers.discard(writer)
+            _reset(writer)
             return
-        for opened_writer in (writer, target_writer):
-            self._writers.add(opened_writer)
+        self._writers.add(target_writer)
         for source, sink, is_response in (
             (reader, target_writer, False),
             (target_reader, writer, True),
@@ -131,7 +132,7 @@
                 # Dropped data is lost, so the connection is unusable and is reset afterwards.
                 if self.mode is Mode.DROP or (self.mode is Mode.DROP_RESPONSES and is_response):
                     await self._wait_until_not_dropping()
-                    sink.transport.abort()
+                    _reset(sink)
                     break
                 sink.write(data)
                 await sink.drain()
@@ -149,6 +150,12 @@
             await asyncio.sleep(POLL_INTERVAL_SECONDS)
 
 
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Close a connection with RST; without the option, the kernel sends FIN."""
+    _set_option(writer, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 def _set_option(writer: asyncio.StreamWriter, option: int, value: bytes | int) -> None:
     """Set an option of a connection's socket unless the connection is lost."""
     sock = writer.get_extra_info("socket")
