--- a/soak/_linked_daemon.py
+++ b/soak/_linked_daemon.py
@@ -29,7 +29,7 @@
         host, port = address
         await connect(loop, sock, (link_host if host == ENDPOINT_HOST else host, port))
 
-    setattr(asyncio.SelectorEventLoop, "sock_connect", connect_over_link)  # noqa: B010
+    asyncio.SelectorEventLoop.sock_connect = connect_over_link  # type: ignore
     runpy.run_path(program, run_name="__main__")
 
 
