Count a request without an answer near a cut by the soak's newer invariant only

Two invariants written at the same time disagreed in test_soak.py: one counts every request that an undisturbed daemon ends without a status, the other excuses the start of a cut that silences or resets connections. Beside a cut the second decides, elsewhere the first, stricter one.

--- a/soak/_invariants.py
+++ b/soak/_invariants.py
@@ -89,7 +89,8 @@
         violations.append(f"{name} was denied with {record.status}")
     elapsed_seconds = record.ended_at - record.sent_at
     undisturbed = record.daemon.disturbed_until < record.sent_at
-    if undisturbed and not record.status:
+    recently_cut = record.daemon.was_cut(record.sent_at - CUT_RECOVERY_SECONDS, record.ended_at)
+    if undisturbed and not recently_cut and not record.status:
         violations.append(f"{name} ended without an answer: {record.failure_reason}")
     latest_end = record.sent_at + DEADLINE_SECONDS + RESPONSE_SLACK_SECONDS
     for span in record.daemon.cut_spans:
