Compare with more endpoints, and believe a peer only what it marks as the endpoint's

Up to 32 endpoints are compared now, four first. A probe only connects now; the second witness is told for how long the first has not reached the endpoint. - A silent or dead peer was blamed on endpoints. Its attempt now counts against the peer. - Without peers that forward, a dead engine was never confirmed. Any reachable peer is asked. One near peer comes first, then those of other data centres. - A suspicion that was over was told again after a failure of another kind; a backoff of a full endpoint ended with the links; a response that arrived as its caller left was not closed; a daemon without a peer key answered 500; probes could occupy all contexts of the peer server; a retry of a replacement that was never sent was not given back; a connection with another attempt's response was kept.

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_attempts.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_attempts.py
@@ -106,6 +106,7 @@
         if not obstacle:
             replacement = await self._reserve_elsewhere(fault, target, task)
             if replacement is not None and self._take_retry(task):
+                replacement.holds_retry = True
                 self._replacement = replacement
                 return True
             if replacement is not None:
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_endpoint_client.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_endpoint_client.py
@@ -174,8 +174,13 @@
         if self._reach_monitor.cut and not self._peers.candidates():
             raise _no_link_error()
 
+    def record_peer_failure(self, peer_name: str) -> None:
+        """Skip a peer through which an attempt failed, whatever the reason, for a while."""
+        self._peers.record_refusal(peer_name)
+
     async def _send_through_peer(self, attempt: Attempt) -> Response:
         endpoint = attempt.target.endpoint
+        self.refuse_without_links()
         added_headers = forwarding_headers(self._keys, endpoint.address, fresh=attempt.once)
         for peer in self._peers.candidates()[:MAX_PEERS_TRIED]:
             try:
@@ -243,7 +248,7 @@
         except ReplyLostError as error:
             self._connection_log.record_broken(endpoint_id)
             raise ResponseLostError(endpoint_id, str(error)) from error
-        failure = forward_failure(head.headers) if target.peer else None
+        failure = forward_failure(head.status, head.headers) if target.peer else None
         if failure is not None:
             target.may_have_received = failure is ForwardFailure.LOST
             raise _FORWARD_ERROR_BY_FAILURE[failure](endpoint_id, f"{failure.value} at a peer")
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_forwarding.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_forwarding.py
@@ -36,6 +36,7 @@
 # A peer that lost its links at the same moment may not know it yet.
 MAX_PEERS_TRIED = 3
 FAILURE_STATUS = 502
+REJECTION_STATUSES = (400, 403, 408, 413, 431, 501, 503)  # a peer's, before it sends anything on
 
 _ADDRESS_HEADER = b"Forward-To"
 _FRESH_HEADER = b"Forward-Fresh"
@@ -76,11 +77,13 @@
     return [(name, value) for name, value in headers if name.lower() not in _FORWARDING_HEADERS]
 
 
-def forward_failure(headers: Headers) -> ForwardFailure | None:
+def forward_failure(status: int, headers: Headers) -> ForwardFailure | None:
     """Return why a peer did not return a response of the endpoint, None if it did."""
     value = first_value(headers, _RESULT_HEADER)
     if value == _ENDPOINT_RESPONSE:
         return None
+    if value is None and status in REJECTION_STATUSES:
+        return ForwardFailure.UNAVAILABLE
     try:
         return ForwardFailure((value or b"").decode("latin-1"))
     except ValueError:
@@ -186,9 +189,18 @@
         except BaseException:
             connection.close()
             raise
-        self._connections.release(connection)
+        if self._answers(request, head):
+            self._connections.release(connection)
+        else:
+            connection.close()  # what else arrives on it belongs to no request
         return f"response: {head.status}"
 
+    def _answers(self, request: ServerRequest, head: ResponseHead) -> bool:
+        """Return whether a response names no other attempt than the request's."""
+        answered = self._dialect.parse_response_headers(head.status, head.headers).attempt_id
+        asked = self._dialect.parse_request_headers(request.headers).attempt_id
+        return answered in ("", asked)
+
     async def _fail_unreachable(
         self, responder: Responder, entry: EndpointEntry, error: NotSentError
     ) -> str:
@@ -274,7 +286,7 @@
             except NotSentError as error:
                 record_unavailable_peer(self._peers, peer, str(error))
                 continue
-            failure = forward_failure(reply.headers)
+            failure = forward_failure(reply.status, reply.headers)
             if failure is None:
                 return reply
             if failure is ForwardFailure.LOST:
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_reach_monitor.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_reach_monitor.py
@@ -11,7 +11,7 @@
 import random
 import time
 from collections import Counter
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Sequence
 
 from ragwortpaddled.coordination._relay_directory import RelayDirectory
 from ragwortpaddled.errors import NotSentError
@@ -19,18 +19,24 @@
 from ragwortpaddled.state import MIN_UNREACHABLE_ENDPOINTS, EndpointReach
 from ragwortpaddled.transport import Http1Pool
 
-MAX_COMPARED_ENDPOINTS = 4  # a data centre that is lost holds fewer of a random sample
-PROBED_ENDPOINTS = 2  # in each round while the links are lost; new connections are billed
+# New connections are billed, so a few endpoints are tried first. A sound one accepts within
+# milliseconds; if none does, more are tried, since many endpoints may have failed at once.
+FIRST_COMPARED_ENDPOINTS = 4
+MAX_COMPARED_ENDPOINTS = 32
+FIRST_ATTEMPTS_SECONDS = 0.05
+PROBED_ENDPOINTS = 8  # in each round while the links are lost
 PROBE_INTERVAL_SECONDS = 0.5
+MAX_CONCURRENT_PEER_PROBES = 4  # the rest of a peer's messages must not wait for them
 # While several endpoints stream to this VM, an event arrives every few milliseconds.
 MAX_SILENCE_SECONDS = 0.25
 SILENCE_POLL_SECONDS = 0.1
-MIN_CHECK_INTERVAL_SECONDS = 1.0  # between checks for silence
+MIN_CHECK_INTERVAL_SECONDS = 0.5  # a check that has found working links holds for so long
 # A healthy endpoint may not respond for about a second.
 MIN_UNREACHABLE_SECONDS = 1.5
 
-# Asks a peer whether an address accepts connections; None if no peer can tell.
-PeerProbe = Callable[[str], Awaitable[bool | None]]
+# Asks a peer whether an address accepts connections; None if no peer can tell. The second argument
+# is the number of seconds for which it has not accepted any here.
+PeerProbe = Callable[[str, float], Awaitable[bool | None]]
 
 logger = logging.getLogger(__name__)
 
@@ -53,7 +59,8 @@
         self._verify_task_by_id: dict[str, asyncio.Task[None]] = {}
         self._open_streams_by_address: Counter[str] = Counter()
         self._received_at = 0.0  # on the monotonic clock
-        self._silence_checked_at = 0.0
+        self._checked_at = float("-inf")  # when the last check ended
+        self._peer_probe_count = 0
         self._links_lost: asyncio.Future[None] | None = None
 
     @property
@@ -113,20 +120,25 @@
             return False
         return accepts
 
-    async def probe(self, address: str) -> bool | None:
-        """Return whether an endpoint accepts connections from this VM, None while it is cut off.
+    async def probe(self, address: str, unreachable_seconds: float) -> bool | None:
+        """Return whether an endpoint accepts connections from this VM, None if it cannot tell.
 
-        Answers a peer that cannot reach the endpoint.
+        Answers a peer. If the peer has not reached the endpoint for some time and this VM doesn't
+        either, both of them report it as lost.
         """
         entry = self._relay_directory.entry_at(address)
-        if self.cut or entry is None:
+        if self.cut or entry is None or self._peer_probe_count >= MAX_CONCURRENT_PEER_PROBES:
             return None
-        if await self._connects(address):
-            return True
-        if await self.has_lost_links(address):
-            return None
-        self.check_endpoint(entry)
-        return False
+        self._peer_probe_count += 1
+        try:
+            accepts = await self._connects(address)
+            if not accepts and unreachable_seconds >= MIN_UNREACHABLE_SECONDS:
+                if await self.has_lost_links(address):
+                    return None
+                self._record_lost(entry, {"endpoint": entry.id, "reported_by_peer": True})
+        finally:
+            self._peer_probe_count -= 1
+        return accepts
 
     async def run(self) -> None:
         """Look for the loss and the return of the links, for the life of the daemon."""
@@ -137,7 +149,6 @@
                 continue
             await asyncio.sleep(SILENCE_POLL_SECONDS)
             if self._all_streams_silent():
-                self._silence_checked_at = time.monotonic()
                 await self._check_links()
 
     def _all_streams_silent(self) -> bool:
@@ -145,12 +156,13 @@
         return (
             len(self._open_streams_by_address) >= MIN_UNREACHABLE_ENDPOINTS
             and now - self._received_at > MAX_SILENCE_SECONDS
-            and now - self._silence_checked_at > MIN_CHECK_INTERVAL_SECONDS
         )
 
     async def _check_links(self, unreachable_address: str = "") -> None:
-        """Connect to some endpoints; concurrent calls share one check."""
+        """Connect to some endpoints; concurrent calls, and those soon after, share one check."""
         if self._check_task is None:
+            if time.monotonic() - self._checked_at < MIN_CHECK_INTERVAL_SECONDS:
+                return
             self._check_task = asyncio.create_task(self._check(unreachable_address))
             self._check_task.add_done_callback(self._end_check)
         await asyncio.shield(self._check_task)
@@ -161,6 +173,7 @@
         if unreachable_address:
             connected_by_address[unreachable_address] = False
         self._record(connected_by_address)
+        self._checked_at = time.monotonic()
 
     def _end_check(self, task: asyncio.Task[None]) -> None:
         self._check_task = None
@@ -171,11 +184,13 @@
         """Report an endpoint as lost if neither this VM nor a peer reaches it for some time."""
         failed_at = time.monotonic()
         while True:
+            unreachable_seconds = time.monotonic() - failed_at
             reachable = await self._connects(entry.address)
             if not reachable and await self.has_lost_links(entry.address):
                 return
-            from_peer = None if reachable else await self._ask_peer(entry.address)
-            unreachable_seconds = time.monotonic() - failed_at
+            from_peer = (
+                None if reachable else await self._ask_peer(entry.address, unreachable_seconds)
+            )
             fields = {
                 "endpoint": entry.id,
                 "reachable": reachable,
@@ -187,13 +202,19 @@
                 return
             if unreachable_seconds >= MIN_UNREACHABLE_SECONDS:
                 break
-            await asyncio.sleep(MIN_UNREACHABLE_SECONDS - unreachable_seconds)
+            elapsed_seconds = time.monotonic() - failed_at
+            await asyncio.sleep(max(0.0, MIN_UNREACHABLE_SECONDS - elapsed_seconds))
+        self._record_lost(entry, fields)
+
+    def _record_lost(self, entry: EndpointEntry, fields: dict[str, object]) -> None:
         if self._relay_directory.entry_by_id.get(entry.id) == entry:
             self._relay_directory.loads.record_lost(entry.id)
             logger.warning("endpoint lost", extra={"fields": fields})
 
-    async def _ask_peer(self, address: str) -> bool | None:
-        return await self._peer_probe(address) if self._peer_probe is not None else None
+    async def _ask_peer(self, address: str, unreachable_seconds: float = 0.0) -> bool | None:
+        if self._peer_probe is None:
+            return None
+        return await self._peer_probe(address, unreachable_seconds)
 
     def _sample(self, count: int, *, excluded_address: str = "") -> list[str]:
         addresses = {
@@ -204,16 +225,19 @@
         others = sorted(addresses - {excluded_address})
         return self._random.sample(others, min(count, len(others)))
 
-    async def _connect_to(self, addresses: Iterable[str]) -> dict[str, bool]:
-        """Return whether each endpoint accepts a connection; stop after the first that does."""
-        task_by_address = {
-            address: asyncio.create_task(self._connects(address)) for address in addresses
-        }
-        pending = set(task_by_address.values())
+    async def _connect_to(self, addresses: Sequence[str]) -> dict[str, bool]:
+        """Return whether each endpoint tried accepts a connection; stop after one that does."""
+        task_by_address: dict[str, asyncio.Task[bool]] = {}
+        pending: set[asyncio.Task[bool]] = set()
         try:
-            while pending:
-                done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
-                if any(task.result() for task in done):
+            for first, end, timeout in (
+                (0, FIRST_COMPARED_ENDPOINTS, FIRST_ATTEMPTS_SECONDS),
+                (FIRST_COMPARED_ENDPOINTS, len(addresses), None),
+            ):
+                for address in addresses[first:end]:
+                    task_by_address[address] = asyncio.create_task(self._connects(address))
+                    pending.add(task_by_address[address])
+                if await _any_connects(pending, timeout):
                     break
         finally:
             for task in pending:
@@ -221,7 +245,7 @@
         return {
             address: task.result()
             for address, task in task_by_address.items()
-            if task not in pending
+            if task.done() and not task.cancelled() and task not in pending
         }
 
     async def _connects(self, address: str) -> bool:
@@ -248,3 +272,17 @@
             logger.warning("links to the endpoints lost", extra={"fields": fields})
         else:
             logger.info("links to the endpoints are back", extra={"fields": fields})
+
+
+async def _any_connects(pending: set[asyncio.Task[bool]], timeout: float | None) -> bool:
+    """Wait until a task returns true, all end or the time is over; remove those that ended."""
+    deadline = float("inf") if timeout is None else time.monotonic() + timeout
+    while pending:
+        left = None if timeout is None else max(0.0, deadline - time.monotonic())
+        done, _ = await asyncio.wait(pending, timeout=left, return_when=asyncio.FIRST_COMPLETED)
+        pending -= done
+        if any(task.result() for task in done):
+            return True
+        if not done:
+            return False
+    return False
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_peers.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_peers.py
@@ -53,8 +53,8 @@
 GOSSIP_INTERVAL_SECONDS = 0.4  # a configuration reaches 9 daemons in 2 or 3 rounds
 GOSSIP_FANOUT = 2
 EXCHANGE_TIMEOUT_SECONDS = 0.5
-PROBE_TIMEOUT_SECONDS = 1.0  # the peer may compare with other endpoints
-MAX_PROBING_PEERS = 2
+PROBE_TIMEOUT_SECONDS = 0.6  # longer than a connection attempt may take
+MAX_PROBING_PEERS = 3  # some may be cut off themselves
 MIN_ROUND_INTERVAL_SECONDS = 0.1  # between rounds that news of crashes starts
 CRASH_PUSH_SECONDS = 2.0  # records that changed before are only sent on request
 JOIN_RETRY_SECONDS = 1.0
@@ -364,18 +364,17 @@
             self._forwarding.forwarder.available,
         )
 
-    async def _probe_by_peer(self, address: str) -> bool | None:
+    async def _probe_by_peer(self, address: str, unreachable_seconds: float) -> bool | None:
         """Ask a peer whether an endpoint accepts connections; None if none can tell."""
-        for peer in self._forwarding.peers.candidates()[:MAX_PROBING_PEERS]:
-            peer_address = self._address_by_name.get(peer.name)
-            if peer_address is None:
-                continue
+        names = sorted(self._address_by_name.keys() - self._unreachable)
+        message = ProbeEndpoint(address, unreachable_seconds)
+        for name in self._random.sample(names, min(MAX_PROBING_PEERS, len(names))):
             try:
                 reply = await self._links.request(
-                    peer_address, ProbeEndpoint(address), PROBE_TIMEOUT_SECONDS
+                    self._address_by_name[name], message, PROBE_TIMEOUT_SECONDS
                 )
             except TransportError as error:
-                fields = {"peer": peer.name, "address": address, "reason": str(error)}
+                fields = {"peer": name, "address": address, "reason": str(error)}
                 logger.info("peer did not probe an endpoint", extra={"fields": fields})
                 continue
             if isinstance(reply, ProbeEndpointReply) and reply.accepts is not None:
@@ -385,7 +384,9 @@
     async def _handle_message(self, body: bytes) -> bytes:
         message = decode_message(body)
         if isinstance(message, ProbeEndpoint):
-            accepts = await self._forwarding.reach_monitor.probe(message.address)
+            accepts = await self._forwarding.reach_monitor.probe(
+                message.address, message.unreachable_seconds
+            )
             return encode_message(ProbeEndpointReply(accepts))
         if not isinstance(message, RelayNews):
             raise PeerRefusedError(
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relayed_request.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relayed_request.py
@@ -327,6 +327,9 @@
                 if await self._attempts.secure_replacement(fault, target, task):
                     raise fault
             return task.result()
+        except asyncio.CancelledError:
+            _close_response(task)
+            raise
         finally:
             if not task.done():
                 task.cancel()
@@ -343,9 +346,9 @@
             waited.append(self.reach_monitor.links_lost)
         await asyncio.wait(waited, timeout=seconds, return_when=asyncio.FIRST_COMPLETED)
         elapsed_seconds = time.monotonic() - started_at
-        if not task.done() and elapsed_seconds < LOST_LINK_SILENCE_SECONDS:
+        if not task.done() and elapsed_seconds < min(seconds, LOST_LINK_SILENCE_SECONDS):
             # An existing connection may outlast the loss of the links.
-            await asyncio.wait([task], timeout=seconds - elapsed_seconds)
+            await asyncio.wait([task], timeout=LOST_LINK_SILENCE_SECONDS - elapsed_seconds)
         return task.done()
 
     def _uses_lost_links(self, target: Target) -> bool:
@@ -370,6 +373,9 @@
         links_lost = self.reach_monitor.cut and not target.peer
         if isinstance(error, NoRoomError):
             seconds = target.loads.record_overload(error.endpoint)
+        elif target.peer and not isinstance(error, NotRunError) and not _is_reported(error):
+            # The peer, or the link to it, is as likely at fault as the endpoint.
+            self.endpoint_client.record_peer_failure(target.peer)
         elif error.endpoint and not links_lost:
             self._attempts.excluded_ids.add(error.endpoint)
             seconds = self._attempts.record_endpoint_failure(error, target)
@@ -410,5 +416,18 @@
         return f"failed {status}"
 
 
+def _is_reported(error: EndpointError) -> bool:
+    """Return whether an engine has named the one at fault."""
+    return isinstance(error, StalledError) and not isinstance(error, UnresponsiveError)
+
+
+def _close_response(task: asyncio.Task[Any]) -> None:
+    """Close a response that arrived in the moment in which its request was cancelled."""
+    if task.done() and not task.cancelled() and task.exception() is None:
+        response = task.result()
+        if isinstance(response, Response):
+            response.close()
+
+
 def _to_loop_time(monotonic: float) -> float:
     return asyncio.get_running_loop().time() + monotonic - time.monotonic()
--- a/packages/ragwortpaddled/src/ragwortpaddled/protocol/_peers.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/_peers.py
@@ -124,9 +124,13 @@
 
 
 class ProbeEndpoint(msgspec.Struct, frozen=True, tag="probe_endpoint"):
-    """Asks whether an endpoint accepts connections from the receiver's VM."""
+    """Asks whether an endpoint accepts connections from the receiver's VM.
+
+    ``unreachable_seconds`` is the time for which the sender's VM has not reached it.
+    """
 
     address: str
+    unreachable_seconds: Quantity = 0.0
 
 
 class ProbeEndpointReply(msgspec.Struct, frozen=True, tag="probe_endpoint_reply"):
--- a/packages/ragwortpaddled/src/ragwortpaddled/state/_endpoint_loads.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/_endpoint_loads.py
@@ -69,6 +69,10 @@
         """Return whether a quorum of peers suspects the endpoint."""
         return self.suspecting_peer_count >= SUSPICION_QUORUM
 
+    def end_expired_suspicion(self) -> None:
+        """Forget that the engine was suspected to be lost, if that time is over."""
+        self.suspected_lost = self.suspected_lost and time.monotonic() < self.suspect_until
+
     def confirmed_lost(self, now: float) -> bool:
         """Return whether a quorum of daemons suspects the engine to be lost."""
         own_vote = 1 if self.suspected_lost and now < self.suspect_until else 0
@@ -229,6 +233,7 @@
         Peers are not told: only the own link to the engine may have failed.
         """
         load = self.get(endpoint_id)
+        load.end_expired_suspicion()
         load.failures += 1
         load.suspect_until = time.monotonic() + LOST_ENGINE_SUSPICION_SECONDS
         return LOST_ENGINE_SUSPICION_SECONDS
@@ -244,6 +249,7 @@
         instead, for a fixed time.
         """
         load = self.get(endpoint_id)
+        load.end_expired_suspicion()
         load.failures += 1
         now = time.monotonic()
         if suspected_lost and not (load.suspected_lost and now < load.suspect_until):
@@ -259,9 +265,10 @@
     def forget_own_failures(self) -> None:
         """End all suspicions of this daemon, since its links to the endpoints were at fault."""
         for load in self.load_by_id.values():
-            load.failures = 0
-            load.suspected_lost = False
-            load.suspect_until = 0.0
+            if load.failures:
+                load.failures = 0
+                load.suspected_lost = False
+                load.suspect_until = 0.0
 
     def record_overload(self, endpoint_id: str) -> float:
         """Back off from an endpoint that refused a request; return for how many seconds.
@@ -269,6 +276,7 @@
         Requests that were sent at the same time and refused together count once.
         """
         load = self.get(endpoint_id)
+        load.end_expired_suspicion()
         now = load.refused_at = time.monotonic()
         if now < load.suspect_until:
             return load.suspect_until - now
--- a/packages/ragwortpaddled/src/ragwortpaddled/state/_forwarding_peers.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/_forwarding_peers.py
@@ -4,7 +4,8 @@
 import time
 from dataclasses import dataclass
 
-REFUSAL_SECONDS = 1.0  # a peer that could not forward a request is skipped for so long
+# A peer that could not forward a request is skipped until it says that it can, or for so long.
+REFUSAL_SECONDS = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,6 +41,7 @@
         """Record whether a peer is reachable and says that it forwards requests."""
         if available:
             self._unavailable_names.discard(name)
+            self._refused_until_by_name.pop(name, None)
         elif name in self._peer_by_name:
             self._unavailable_names.add(name)
 
@@ -48,9 +50,10 @@
         self._refused_until_by_name[name] = time.monotonic() + REFUSAL_SECONDS
 
     def candidates(self) -> list[ForwardingPeer]:
-        """Return the usable peers in random order, those of the own data centre first.
+        """Return the usable peers in the order in which to try them.
 
-        Traffic between data centres is billed.
+        One of the own data centre comes first, since traffic between data centres is billed. If it
+        cannot forward, the others of that data centre may have lost their links too.
         """
         now = time.monotonic()
         usable = [
@@ -60,4 +63,6 @@
             and self._refused_until_by_name.get(name, 0.0) <= now
         ]
         self._random.shuffle(usable)
-        return sorted(usable, key=lambda peer: peer.data_centre != self._data_centre)
+        near = [peer for peer in usable if peer.data_centre == self._data_centre]
+        far = [peer for peer in usable if peer.data_centre != self._data_centre]
+        return [*near[:1], *far, *near[1:]]
--- a/tests/test_endpoint_loads.py
+++ b/tests/test_endpoint_loads.py
@@ -1,5 +1,7 @@
 """Loads of endpoints: how long one that refuses requests is avoided."""
 
+import time
+
 import pytest
 from ragwortpaddled.state import EndpointLoads, _endpoint_loads
 
@@ -102,3 +104,24 @@
         assert (suspicion.age_seconds, suspicion.report_age_seconds) == (1.5, 0.0)
         loads.update_peer("entry-2", {}, [])
         assert not loads.suspicions_of("engine-1")
+
+
+class TestSuspicionThatIsOver:
+    """A later failure of another kind told peers again that the engine was lost."""
+
+    @pytest.mark.parametrize("record", ["record_unreachable", "record_overload", "record_failure"])
+    def test_is_not_told_again(self, monkeypatch: pytest.MonkeyPatch, record: str) -> None:
+        now = [100.0]
+        monkeypatch.setattr("ragwortpaddled.state._endpoint_loads.time.monotonic", lambda: now[0])
+        loads = EndpointLoads()
+        loads.record_lost("engine-1")
+        assert loads.own_suspect_ids() == ["engine-1"]
+        now[0] += 60.0
+        getattr(loads, record)("engine-1")
+        assert loads.own_suspect_ids() == []
+
+    def test_backoff_of_a_full_endpoint_outlasts_the_loss_of_the_links(self) -> None:
+        loads = EndpointLoads()
+        loads.record_overload("engine-1")
+        loads.forget_own_failures()
+        assert loads.get("engine-1").suspect(time.monotonic())
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -4,10 +4,13 @@
 import logging
 import time
 from collections.abc import AsyncIterator
+from types import SimpleNamespace
 
 import pytest
 from ragwortpaddle_standins.relay_platform import EVENT_STREAM, attempt_id_of
+from ragwortpaddled.coordination._endpoint_client import Response
 from ragwortpaddled.coordination._forwarding import forwarding_headers
+from ragwortpaddled.coordination._relayed_request import RelayedRequest
 from ragwortpaddled.errors import ReplyLostError
 from ragwortpaddled.relay import RelayDaemon
 from ragwortpaddled.transport import Http1Pool, KeyRing, ResponseHead, ServerRequest
@@ -130,7 +133,46 @@
         assert (head.status, body) == (200, EVENT_STREAM)
 
 
+class TestResultHeader:
+    async def test_endpoint_that_sends_it_itself_is_not_believed(self, fleet: Fleet) -> None:
+        """An unsafe request ran, was called not sent and ran again."""
+        fleet.cut._reach_monitor._reach.cut = False
+        for desk in fleet.testbed.desks:
+
+            async def handle(request, responder, desk=desk) -> None:
+                desk._record_request(request)
+                headers = [(b"Forward-Result", b"not-sent"), *desk._response_headers(request)]
+                await responder.send(502, headers, b"")
+
+            desk._server.handler = handle
+        head, _ = await fleet.testbed.ask(b"POST", b"/book/1")
+        assert head.status == 502
+        assert len(fleet.received(b"a1")) == 1
+
+
 class TestPeersThatCannotForward:
+    async def test_daemon_without_a_peer_key_refuses(self, fleet: Fleet) -> None:
+        """Signing raised an unexpected error, and the caller got 500."""
+        fleet.cut._peers._keys._key_by_id.clear()
+        for peer in fleet.cut._forwarding_peers.candidates():
+            fleet.cut._forwarding_peers.remove(peer.name)
+        head, _ = await fleet.testbed.ask(b"GET", b"/look/1")
+        assert head.status == 503
+
+    async def test_peer_that_dies_within_a_stream_is_not_its_engines_failure(
+        self, fleet: Fleet
+    ) -> None:
+        for engine in fleet.testbed.engines:
+            engine.event_interval_seconds = 0.1
+        connection = await fleet.testbed.send(b"POST", b"/ask/1")
+        await connection.read_head()
+        for daemon in fleet.daemons[1:]:
+            daemon._forward_server.abort("injected fault")
+        assert await connection.read_body() == EVENT_STREAM
+        loads = fleet.cut._relay_directory.loads
+        now = time.monotonic()
+        assert not [id_ for id_, load in loads.load_by_id.items() if load.suspect(now)]
+
     async def test_peer_that_lost_its_links_too_is_passed_over(self, fleet: Fleet, caplog) -> None:
         take_links_for_lost(fleet.daemons[1])
         for number in range(6):
@@ -240,3 +282,32 @@
     connection = await Http1Pool().acquire(daemon.ready_address, fresh=True)
     await connection.send(b"GET", b"/api/readyz", [(b"Host", b"vm")], b"")
     return (await connection.read_head()).status
+
+
+class TestCancelledRequest:
+    async def test_response_that_arrives_in_that_moment_is_closed(self, fleet: Fleet) -> None:
+        """The endpoint went on working for a caller that had left."""
+        closed = []
+
+        class ArrivingResponse(Response):
+            def __init__(self) -> None:
+                pass
+
+            def close(self) -> None:
+                closed.append(True)
+
+        request = object.__new__(RelayedRequest)
+        request.reach_monitor = fleet.daemons[1]._reach_monitor
+        target = SimpleNamespace(peer="")
+        arrival = asyncio.get_running_loop().create_future()
+
+        async def arrive() -> Response:
+            await arrival
+            asyncio.get_running_loop().call_soon(waiting.cancel)
+            return ArrivingResponse()
+
+        waiting = asyncio.create_task(request._await_unless_replaced(arrive(), 5.0, target, None))
+        await asyncio.sleep(0.01)
+        arrival.set_result(None)
+        await asyncio.wait([waiting])
+        assert closed or not waiting.cancelled()
--- a/tests/test_stranded_vm.py
+++ b/tests/test_stranded_vm.py
@@ -11,6 +11,7 @@
 from endpoint_cut import Way, patch_connect
 from ragwortpaddle_standins.relay_platform import (
     EVENT_STREAM,
+    Service,
     attempt_id_of,
     caller_headers,
     event,
@@ -392,7 +393,71 @@
             assert not fleet.unserved_since(daemon, healed_at + CONTACT_SECONDS)
 
 
+class TestManyLostEndpoints:
+    """Every daemon took its own links for lost, and requests were refused everywhere."""
+
+    SOUND_COUNT = 2
+    LOST_COUNT = 18
+    SECONDS = 4.0
+
+    @pytest.mark.parametrize("way", [Way.HANG, Way.REFUSE])
+    async def test_the_links_are_not_taken_for_lost(self, tmp_path, monkeypatch, way: Way) -> None:
+        patch_connect(monkeypatch)
+        testbed = RelayTestBed(tmp_path)
+        lost = [
+            Service(testbed.store, f"lost-{number}", "desk", "dc-a")
+            for number in range(self.LOST_COUNT)
+        ]
+        testbed.desks += lost
+        async with StrandedFleet(testbed) as fleet:
+            for daemon in fleet.daemons:
+                fleet.cut_of(daemon).start(way, {service.address for service in lost})
+            fleet.start_callers("safe")
+            ends_at = time.monotonic() + self.SECONDS
+            while time.monotonic() < ends_at:
+                assert not [daemon for daemon in fleet.daemons if daemon._reach_monitor.cut]
+                await asyncio.sleep(0.02)
+            await fleet.stop_callers()
+
+
 class TestSingleEndpoint:
+    async def test_checks_of_one_that_stays_dead_end(self, fleet: StrandedFleet) -> None:
+        """Daemons asked each other about it for ever, and connected to the others each time."""
+        engine = fleet.testbed.engines[0]
+        opened_at: list[float] = []
+        for daemon in fleet.daemons:
+            fleet.cut_of(daemon).start(Way.REFUSE, {engine.address})
+            connects = daemon._reach_monitor._connects
+
+            async def count_and_connect(address: str, connects=connects) -> bool:
+                opened_at.append(time.monotonic())
+                return await connects(address)
+
+            daemon._reach_monitor._connects = count_and_connect
+        daemon = fleet.daemons[0]
+        started_at = time.monotonic()
+        daemon._reach_monitor.check_endpoint(daemon._relay_directory.entry_by_id[engine.id])
+        await fleet.testbed.wait(
+            lambda: any(
+                d._relay_directory.loads.get(engine.id).confirmed_lost(time.monotonic())
+                for d in fleet.daemons
+            ),
+            "loss",
+        )
+        await sleep_until(started_at + 2 * CONTACT_SECONDS)
+        assert max(opened_at) < started_at + CONTACT_SECONDS
+
+    async def test_dead_engine_is_counted_as_lost_without_peers_that_forward(
+        self, fleet: StrandedFleet
+    ) -> None:
+        for daemon in fleet.daemons:
+            for peer in daemon._forwarding_peers.candidates():
+                daemon._forwarding_peers.remove(peer.name)
+        engine = fleet.testbed.engines[0]
+        engine.stop()
+        fleet.start_callers("stream")
+        await fleet.testbed.wait(lambda: not self.is_planned(fleet, engine.id), "repair")
+
     async def test_engine_that_stops_is_found_and_replaced(self, fleet: StrandedFleet) -> None:
         fleet.start_callers("stream")
         engine = fleet.testbed.engines[0]
