Keep a removal deferred when a peer sends an older change of the object

Cause: a daemon lists the restored store without an object, or its watch reports the removal, and the removal is deferred by 2.5 s. A change of that object from before, which a peer had listed earlier, arrives by gossip; ObjectWatcher._update cancelled the deferral before it compared versions, and nothing compared the change with the revision of the daemon's own list. The store has no removal left to report, so the object stayed for good. In the same way an object that the own list lacks was added if its key was unknown.

merge_peer_changes now applies a change at or below the own revision only to an object that is known and whose removal isn't deferred. The own list or watch at that revision already holds the outcome of the change, so an object that is missing there was removed after it. An object that is written again has a higher version and ends the deferral; a daemon without the store, or one that has not listed the new era, has a lower revision and applies what peers send. Changes from the store itself end a deferral as before.

Evidence: TestPeerChangesAfterRestore, six cases. Three failed on: twice "servers/a is still known after 4.0 s" (removed before, and after, the own list), and an unknown object added. The other three passed before and after: written again, daemon without the store, new era not listed yet. The files test_object_watcher, test_restored_store and test_relay: 70 passed (load average up to 17).

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_object_watcher.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_object_watcher.py
@@ -103,12 +103,17 @@
                 continue  # the peer has not reached the store since it was restored
             self._latest_peer_version = max(self._latest_peer_version, change.version)
             if change.value is not None:
-                self._update(StoredObject(change.key, change.version, change.value))
+                if change.version > self.revision or self._is_listed(change.key):
+                    self._update(StoredObject(change.key, change.version, change.value))
                 continue
             current = self.object_by_key.get(change.key)
             if current is not None and current.version < change.version:
                 self._remove_now(change.key, change.version)
 
+    def _is_listed(self, key: str) -> bool:
+        """Return whether an object is known and its removal is not deferred."""
+        return key in self.object_by_key and key not in self._deferred_removal_by_key
+
     async def run(self) -> None:
         """List and watch the objects for the life of the daemon."""
         retry_seconds = MIN_RETRY_SECONDS
--- a/tests/test_object_watcher.py
+++ b/tests/test_object_watcher.py
@@ -2,10 +2,14 @@
 
 import asyncio
 import random
+import time
 
+import pytest
 from ragwortpaddled.coordination import ObjectWatcher
 from ragwortpaddled.errors import HistoryLostError, PlatformUnavailableError, ReplyTimeoutError
-from ragwortpaddled.protocol import ObjectChange, ObjectList, StoredObject
+from ragwortpaddled.protocol import ObjectChange, ObjectList, StoredObject, make_version
+
+TIMEOUT_SECONDS = 4.0
 
 
 class ScriptedPlatform:
@@ -140,3 +144,83 @@
         assert object_watcher.recent_changes(5) == [ObjectChange("servers/b", 6, None)]
         assert not object_watcher.recent_changes(6)
         assert object_watcher.changes_wanted_after == 6
+
+
+BEFORE_RESTORE = ObjectList(make_version(6, 40), [stored("a", make_version(6, 10))])
+RESTORED = ObjectList(make_version(7, 45), [])
+RESTORED_EARLIER = ObjectList(make_version(7, 30), [stored("a", make_version(7, 10))])
+RESTORED_LATER = ObjectList(make_version(7, 45), [stored("a", make_version(7, 10))])
+
+
+async def run_through_restore(
+    restored: ObjectList, watches: list
+) -> tuple[ObjectWatcher, list[tuple[str, bool]]]:
+    """Return a watcher that has listed the store before and after a restore."""
+    return await run_watcher(
+        [BEFORE_RESTORE, restored], [HistoryLostError("restored"), *watches], 0.05
+    )
+
+
+async def wait_for_removal(object_watcher: ObjectWatcher, key: str) -> None:
+    deadline = time.monotonic() + TIMEOUT_SECONDS
+    while key in object_watcher.object_by_key:
+        assert time.monotonic() < deadline, f"{key} is still known after {TIMEOUT_SECONDS} s"
+        await asyncio.sleep(0.02)
+
+
+class TestPeerChangesAfterRestore:
+    @pytest.mark.parametrize(
+        ("restored", "watches"),
+        [
+            pytest.param(RESTORED, [], id="removed before the list"),
+            pytest.param(
+                RESTORED_LATER,
+                [ObjectList(make_version(7, 46), [], ["servers/a"])],
+                id="removed after the list",
+            ),
+        ],
+    )
+    async def test_removal_is_not_lost_by_an_older_change_of_a_peer(
+        self, restored: ObjectList, watches: list
+    ) -> None:
+        """The watcher requested the peer's changes before its own list of the restored store."""
+        peer, _ = await run_through_restore(RESTORED_EARLIER, [])
+        changes = peer.recent_changes(BEFORE_RESTORE.revision)
+        object_watcher, _ = await run_through_restore(restored, watches)
+        assert object_watcher.is_removal_deferred("servers/a")
+        assert changes == [ObjectChange("servers/a", make_version(7, 10), "{}")]
+        object_watcher.merge_peer_changes(changes)
+        await wait_for_removal(object_watcher, "servers/a")
+
+    async def test_object_that_the_own_list_lacks_is_not_added_by_an_older_change(self) -> None:
+        object_watcher, changes = await run_through_restore(RESTORED, [])
+        object_watcher.merge_peer_changes([ObjectChange("servers/c", make_version(7, 45), "{}")])
+        assert ("servers/c", True) not in changes
+
+    async def test_object_that_is_written_again_stays(self) -> None:
+        object_watcher, changes = await run_through_restore(RESTORED, [])
+        object_watcher.merge_peer_changes([ObjectChange("servers/a", make_version(7, 46), "{}")])
+        assert not object_watcher.is_removal_deferred("servers/a")
+        await asyncio.sleep(2.6)
+        assert ("servers/a", False) not in changes
+
+    async def test_daemon_without_the_store_applies_changes_after_its_own_list(self) -> None:
+        object_watcher, changes = await run_through_restore(
+            RESTORED, [PlatformUnavailableError("busy")]
+        )
+        assert not object_watcher.connected
+        object_watcher.merge_peer_changes(
+            [
+                ObjectChange("servers/a", make_version(7, 47), '{"leaving": 1}'),
+                ObjectChange("servers/c", make_version(7, 46), "{}"),
+            ]
+        )
+        assert object_watcher.object_by_key["servers/a"].version == make_version(7, 47)
+        assert ("servers/c", True) in changes
+
+    async def test_daemon_that_has_not_listed_the_restored_store_applies_its_changes(self) -> None:
+        object_watcher, _ = await run_watcher(
+            [BEFORE_RESTORE], [PlatformUnavailableError("busy")], 0.05
+        )
+        object_watcher.merge_peer_changes([ObjectChange("servers/a", make_version(7, 10), "{}")])
+        assert object_watcher.object_by_key["servers/a"].version == make_version(7, 10)
