Hold a departed endpoint that peers list before the daemon's own list

Callers' requests went to endpoints that had left before a restore, from a daemon that got the restored entries by gossip before its own list of that era.

Cause: RelayDirectory._hold_if_departed asks may_be_from_copy, which compared the entry's version with the first revision of the era that the daemon had listed last. A version of a newer era is greater, so the departure was forgotten and the entry counted as ready; the own list then brought the same version and changed nothing, until a peer reported the departure again.

A version of an era that the daemon hasn't listed now counts as one that may be from the copy: nothing that the daemon knows says otherwise. That alone held an endpoint for 10 s that left and returned after the restore, at a daemon without the store, since a removal learned from a peer was recorded under the era of the daemon's own list. It is now recorded under the era of the removal.

Evidence: a daemon that the store rejects, and peers that reach it (test_departed_endpoint_that_a_peer_lists_first_gets_no_requests): failed in each of four runs on the code before (requests at the endpoints, with the daemon still an era behind), passes now. The window of a daemon that lists shortly after its peers is the same path, and was not measured by itself. test_endpoint_that_left_and_returned_after_the_restore_is_used_by_a_late_daemon passed before, failed with the first half of the fix alone, passes now. test_object_watcher, test_restored_store, test_relay, test_odd_entries, test_package_layers and test_adapter_boundary: 363 passed.

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_object_watcher.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_object_watcher.py
@@ -71,9 +71,15 @@
         """Return whether an object's removal is deferred; it may only have expired in an outage."""
         return key in self._deferred_removal_by_key
 
+    def version_of_last_change(self, key: str) -> int:
+        """Return the version of the change that is being applied to an object."""
+        return self._recent_change_by_key[key][1].version
+
     def may_be_from_copy(self, version: int) -> bool:
         """Return whether a version may have been in the copy from which the store was restored."""
-        return version <= self._first_revision_of_era
+        first_revision = self._first_revision_of_era
+        # Peers may list the restored store before this daemon does.
+        return version <= first_revision or era_of(version) > era_of(first_revision)
 
     @property
     def changes_wanted_after(self) -> int:
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_directory.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_directory.py
@@ -169,7 +169,7 @@
         previous = self.entry_by_id.get(endpoint_id)
         entry = self._usable_entry(stored) if stored is not None else None
         if stored is None and previous is not None:
-            era = era_of(self._endpoint_watcher.revision)
+            era = era_of(self._endpoint_watcher.version_of_last_change(key))
             self._departures.record(endpoint_id, previous.incarnation, era)
         if entry == previous:
             return
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -5,12 +5,21 @@
 import secrets
 import time
 from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 
 import pytest
 from adapter import PlatformStoreDialect
-from ragwortpaddle_standins.relay_platform import EVENT_STREAM, Store, StoreCopy, configuration
+from ragwortpaddle_standins.relay_platform import (
+    EVENT_STREAM,
+    Service,
+    Store,
+    StoreCopy,
+    StoreFrontend,
+    configuration,
+)
 from ragwortpaddled.coordination import ObjectWatcher
 from ragwortpaddled.protocol import PlatformClient, era_of
+from ragwortpaddled.relay import RelayDaemon
 from ragwortpaddled.transport import Http1Client
 from relay_fleet import RelayFleet, RelayTestBed
 
@@ -34,6 +43,19 @@
     def store(self) -> Store:
         return self.testbed.store
 
+    @asynccontextmanager
+    async def late_daemon(self) -> AsyncIterator[tuple[RelayDaemon, StoreFrontend]]:
+        """Add a daemon with its own address of the store, which can reject it."""
+        frontend = StoreFrontend(self.store)
+        await frontend.start()
+        try:
+            daemon = await self.testbed.start_daemon("entry-4", frontend.address)
+            self.daemons.append(daemon)
+            await self.testbed.wait(lambda: len(daemon.reachable_peers) == 3, "peers")
+            yield daemon, frontend
+        finally:
+            frontend.stop()
+
     def publish_repeatedly(self, first_version: int, count: int) -> int:
         """Publish versions in a row; return the last one."""
         for version in range(first_version, first_version + count):
@@ -59,6 +81,15 @@
         watchers = [daemon._relay_directory.endpoint_watcher for daemon in self.daemons]
         return all(era_of(watcher.revision) == self.store.era for watcher in watchers)
 
+    async def wait_for_restored_entry(self, watcher: ObjectWatcher, key: str) -> None:
+        """Wait until a watcher knows an entry of the store's present era."""
+
+        def is_known() -> bool:
+            stored = watcher.object_by_key.get(key)
+            return stored is not None and era_of(stored.version) == self.store.era
+
+        await self.testbed.wait(is_known, f"restored entry {key}")
+
     async def wait_for_statuses(self, path: bytes, status: int, seconds: float) -> list[int]:
         """Ask until all daemons answer a status or the time is over; return the last ones."""
         deadline = time.monotonic() + seconds
@@ -141,6 +172,52 @@
         await fleet.ask_repeatedly(b"/look/1", seconds=1.0)
         assert (len(leaving.received_requests), len(removed.received_requests)) == received
 
+    async def test_departed_endpoint_that_a_peer_lists_first_gets_no_requests(
+        self, fleet: Fleet
+    ) -> None:
+        departed = fleet.testbed.desks
+        staying = Service(fleet.store, "desk-9", "desk", "dc-a")
+        await staying.start()
+        async with fleet.late_daemon() as (late, frontend):
+            copy = fleet.store.copy()
+            departed[0].register("draining")
+            departed[1].remove()
+            await asyncio.sleep(0.5)
+            frontend.start_rejecting()
+            fleet.store.restore(copy)
+            watcher = late._relay_directory.endpoint_watcher
+            for endpoint in departed:
+                await fleet.wait_for_restored_entry(watcher, f"servers/{endpoint.id}")
+            await fleet.ask_repeatedly(b"/look/1", seconds=1.0)
+            assert era_of(watcher.revision) < fleet.store.era
+            assert [endpoint.received_requests for endpoint in departed] == [[], []]
+            frontend.stop_rejecting()
+            await fleet.testbed.wait(fleet.has_listed_restored_entries, "list of the late daemon")
+            await fleet.ask_repeatedly(b"/look/1", seconds=1.0)
+            assert [endpoint.received_requests for endpoint in departed] == [[], []]
+            assert staying.received_requests
+        staying.stop()
+
+    async def test_endpoint_that_left_and_returned_after_the_restore_is_used_by_a_late_daemon(
+        self, fleet: Fleet
+    ) -> None:
+        async with fleet.late_daemon() as (late, frontend):
+            returned = fleet.testbed.desks[0]
+            key = f"servers/{returned.id}"
+            watcher = late._relay_directory.endpoint_watcher
+            frontend.start_rejecting()
+            fleet.store.restore(fleet.store.copy())
+            await fleet.wait_for_restored_entry(watcher, key)
+            await asyncio.sleep(CONTACT_SECONDS)
+            returned.remove()
+            await fleet.testbed.wait(lambda: key not in watcher.object_by_key, "removal")
+            returned.register()
+            await fleet.wait_for_restored_entry(watcher, key)
+            for number in range(20):
+                await fleet.testbed.ask(b"GET", b"/look/1", b"r%d" % number, late)
+            assert era_of(watcher.revision) < fleet.store.era
+            assert returned.received_requests
+
     async def test_endpoint_that_writes_its_entry_again_is_used(self, fleet: Fleet) -> None:
         copy = fleet.store.copy()
         returned = fleet.testbed.desks[0]
