Test that reports of a peer from before a restore are ignored

test_removal_before_the_restore_does_not_end_the_grace_period fails without the check: the deferred removal is carried out at once, although the endpoint may write its entry again. test_object_that_the_restored_store_lacks_goes_although_a_peer_still_reports_it passes without the check alone, since compares with the own list as well; with both removed it fails ("servers/a is still known after 4.0 s").

--- a/tests/test_object_watcher.py
+++ b/tests/test_object_watcher.py
@@ -224,3 +224,25 @@
         )
         object_watcher.merge_peer_changes([ObjectChange("servers/a", make_version(7, 10), "{}")])
         assert object_watcher.object_by_key["servers/a"].version == make_version(7, 10)
+
+    async def test_object_that_the_restored_store_lacks_goes_although_a_peer_still_reports_it(
+        self,
+    ) -> None:
+        """The peer has not reached the store since the restore."""
+        peer, _ = await run_watcher([BEFORE_RESTORE], [PlatformUnavailableError("busy")], 0.05)
+        changes = peer.recent_changes(0)
+        object_watcher, _ = await run_through_restore(RESTORED, [])
+        object_watcher.merge_peer_changes(changes)
+        await wait_for_removal(object_watcher, "servers/a")
+
+    async def test_removal_before_the_restore_does_not_end_the_grace_period(self) -> None:
+        """Endpoints write the entries again that the restored store has lost."""
+        gone = ObjectList(make_version(6, 41), [], ["servers/a"])
+        peer, _ = await run_watcher(
+            [BEFORE_RESTORE], [gone, PlatformUnavailableError("busy")], 0.05
+        )
+        changes = peer.recent_changes(BEFORE_RESTORE.revision)
+        assert changes == [ObjectChange("servers/a", make_version(6, 41), None)]
+        object_watcher, _ = await run_through_restore(RESTORED, [])
+        object_watcher.merge_peer_changes(changes)
+        assert object_watcher.is_removal_deferred("servers/a")
