--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_endpoint_client.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_endpoint_client.py
@@ -161,7 +161,7 @@
             connection = await self.connections.acquire(endpoint.address, fresh=attempt.once)
         except NotSentError as error:
             self._connection_log.record_unreached(endpoint.id, str(error))
-            if not await self._reach_monitor.has_lost_links(endpoint.address):
+            if not await self._reach_monitor.check_links(endpoint.address):
                 raise UnreachableError(endpoint.id, str(error)) from error
             return await self._send_through_peer(attempt)
         return await self._exchange(connection, self.connections, attempt)
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_forwarding.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_forwarding.py
@@ -204,7 +204,7 @@
     async def _fail_unreachable(
         self, responder: Responder, entry: EndpointEntry, error: NotSentError
     ) -> str:
-        if await self._reach_monitor.has_lost_links(entry.address):
+        if await self._reach_monitor.check_links(entry.address):
             return await self._fail(responder, ForwardFailure.UNAVAILABLE, "links lost")
         self._reach_monitor.check_endpoint(entry)
         return await self._fail(responder, ForwardFailure.NOT_SENT, str(error))
@@ -264,7 +264,7 @@
                     fresh_connection=fresh_connection,
                 )
             except NotSentError:
-                if not await self._reach_monitor.has_lost_links(address):
+                if not await self._reach_monitor.check_links(address):
                     raise
         for peer in self._peers.candidates()[:MAX_PEERS_TRIED]:
             remaining_seconds = deadline - time.monotonic()
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_reach_monitor.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_reach_monitor.py
@@ -93,10 +93,10 @@
         """Set the function that asks a peer about an endpoint."""
         self._peer_probe = probe
 
-    async def has_lost_links(self, unreachable_address: str) -> bool:
-        """Return whether the links are lost, after a connection to an endpoint has failed."""
+    async def check_links(self, unreachable_address: str) -> bool:
+        """Connect to others after an endpoint failed to connect; return whether links are lost."""
         if not self.cut:
-            await self._check_links(unreachable_address)
+            await self._run_check(unreachable_address)
         return self.cut
 
     def check_endpoint(self, entry: EndpointEntry) -> None:
@@ -114,7 +114,7 @@
         """
         if not self.cut and await self._connects(entry.address):
             return True
-        cut = await self.has_lost_links(entry.address)
+        cut = await self.check_links(entry.address)
         accepts = await self._ask_peer(entry.address)
         if accepts is None and not cut:
             return False
@@ -133,7 +133,7 @@
         try:
             accepts = await self._connects(address)
             if not accepts and unreachable_seconds >= MIN_UNREACHABLE_SECONDS:
-                if await self.has_lost_links(address):
+                if await self.check_links(address):
                     return None
                 self._record_lost(entry, {"endpoint": entry.id, "reported_by_peer": True})
         finally:
@@ -149,7 +149,7 @@
                 continue
             await asyncio.sleep(SILENCE_POLL_SECONDS)
             if self._all_streams_silent():
-                await self._check_links()
+                await self._run_check()
 
     def _all_streams_silent(self) -> bool:
         now = time.monotonic()
@@ -158,7 +158,7 @@
             and now - self._received_at > MAX_SILENCE_SECONDS
         )
 
-    async def _check_links(self, unreachable_address: str = "") -> None:
+    async def _run_check(self, unreachable_address: str = "") -> None:
         """Connect to some endpoints; concurrent calls, and those soon after, share one check."""
         if self._check_task is None:
             if time.monotonic() - self._checked_at < MIN_CHECK_INTERVAL_SECONDS:
@@ -186,7 +186,7 @@
         while True:
             unreachable_seconds = time.monotonic() - failed_at
             reachable = await self._connects(entry.address)
-            if not reachable and await self.has_lost_links(entry.address):
+            if not reachable and await self.check_links(entry.address):
                 return
             from_peer = (
                 None if reachable else await self._ask_peer(entry.address, unreachable_seconds)
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_stall_locator.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_stall_locator.py
@@ -30,7 +30,7 @@
         report = await self._reports.read(target.endpoint.address)
         if report is None:
             address = target.endpoint.address
-            if not target.peer and await self._reach_monitor.has_lost_links(address):
+            if not target.peer and await self._reach_monitor.check_links(address):
                 return Stall(links_lost=True)
             return Stall(target.endpoint.id, unresponsive=True)
         stalled_address = report.stalled_address_by_attempt.get(attempt_id, "")
--- a/tests/test_endpoint_reach.py
+++ b/tests/test_endpoint_reach.py
@@ -172,7 +172,7 @@
     ) -> None:
         monitor = new_monitor(directory, set(), peer_answer=None)
         task = asyncio.create_task(monitor.run())
-        assert await monitor.has_lost_links("address-0")
+        assert await monitor.check_links("address-0")
         monitor._connections.reachable = self.ALL
         async with asyncio.timeout(5):
             while monitor.cut:
