Keep removed endpoints out of the soak's store after overlapping restores

Two restores overlapped, and what the second had replaced came from the copy of the first, so the stand-in of the store wrote the removed entry again and the daemons rightly used it.

--- a/packages/standins/src/ragwortpaddle_standins/relay_platform.py
+++ b/packages/standins/src/ragwortpaddle_standins/relay_platform.py
@@ -367,6 +367,7 @@
     received_requests: list[ServerRequest] = field(default_factory=list)
     received_at: list[float] = field(default_factory=list)  # seconds on the monotonic clock
     withdrawn_at: float | None = None  # when removed or no longer ready, monotonic clock
+    removed: bool = False
     public_address: str = ""
     fault: str = ""
     running: int = 0
@@ -405,6 +406,7 @@
 
     def remove(self) -> None:
         """Remove the store entry."""
+        self.removed = True
         self.store.remove("servers", self.id)
         self.withdrawn_at = self.withdrawn_at or time.monotonic()
 
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -108,6 +108,10 @@
     store.unavailable = False
     await asyncio.sleep(rewrite_seconds)
     store.rewrite(replaced)
+    # What a restore replaced may have come from the copy of another one that overlaps with it.
+    for endpoint in installation.endpoints:
+        if endpoint.removed:
+            store.remove("servers", endpoint.id)
 
 
 async def disturb_endpoint_link(installation: Installation) -> None:
