Answer requests that cross the close of a stopping daemon

With no request of a caller left, the daemon reset the connections of all its servers in one loop turn. A probe that had been answered in the turn before, and was to be closed in order, was logged as cut off; its 64 bytes were with the system and reach the balancer. A probe, or a caller's request on a kept connection, that the system had received and the loop had not yet read was reset unread. The reason was a fixed text.

Now an idle connection is closed like one whose idle time-out has passed: after the loop turns in which received bytes are read. The daemon closes the connections of all servers, waits up to the time that is reserved for sending until they have ended, and serves what has crossed the close before it resets what is left. A response that the system has taken whole is not logged as cut off, and the reason names the grace period only at its end.

On the code before, the new tests failed: the probe and the request were reset (2), the line was written (1), DrainPlan had no reason (1).

--- a/packages/ragwortpaddled/src/ragwortpaddled/_relay_daemon.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/_relay_daemon.py
@@ -51,6 +51,7 @@
 )
 
 DRAIN_POLL_SECONDS = 0.05
+CLOSE_POLL_SECONDS = 0.01
 TASK_RESTART_SECONDS = 1.0
 SETTINGS_POLL_SECONDS = 2.0  # the file may change without a SIGHUP
 
@@ -235,6 +236,11 @@
         await asyncio.sleep(plan.connections_until - started_at)
         self._server.stop_accepting()
         await self._wait_for_requests(plan.requests_until)
+        for server in self._servers:
+            server.stop_accepting()
+        closed_by = min(time.monotonic() + plan.sending_seconds, plan.requests_until)
+        await self._wait_for_connections(closed_by)
+        await self._wait_for_requests(plan.requests_until)
         if self._server.in_flight:
             fields = {"in_flight": self._server.in_flight}
             logger.warning(
@@ -245,7 +251,7 @@
             await self._wait_for_requests(plan.responses_until)
         for server in self._servers:
             server.stop_accepting()
-            server.abort("end of the grace period")
+            server.abort(plan.abort_reason(time.monotonic()))
         for task in self._tasks:
             task.cancel()
         try:
@@ -266,6 +272,16 @@
         while self._in_flight and time.monotonic() < until:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
+    async def _wait_for_connections(self, until: float) -> None:
+        """Wait until no connection is open, or until a time on the monotonic clock.
+
+        A response reaches its caller for certain if the caller closes the connection first.
+        """
+        while any(server.open_connections for server in self._servers):
+            if time.monotonic() >= until:
+                return
+            await asyncio.sleep(CLOSE_POLL_SECONDS)
+
     @property
     def _in_flight(self) -> int:
         """Return the number of unanswered requests of callers and of peers."""
--- a/packages/ragwortpaddled/src/ragwortpaddled/state/_drain.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/_drain.py
@@ -31,6 +31,15 @@
     responses_until: float  # connections whose responses are not sent are reset then
     releasing_seconds: float  # limit for giving up the lease and the daemon's entry
 
+    @property
+    def sending_seconds(self) -> float:
+        """Return the time for sending the last responses and closing the connections."""
+        return self.responses_until - self.requests_until
+
+    def abort_reason(self, now: float) -> str:
+        """Return why a connection that is still open is ended."""
+        return "end of the grace period" if now >= self.requests_until else "the daemon has stopped"
+
     @classmethod
     def create(cls, started_at: float, grace_seconds: float, balancer_lag_seconds: float) -> Self:
         """Divide a grace period."""
--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_server.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_server.py
@@ -147,6 +147,7 @@
         self._read_timeout: asyncio.Timeout | None = None  # of a wait for bytes
         self._keeps_open = True
         self._closing = False
+        self._close_when_idle = False
         self._since = 0.0  # when the connection became idle or its request began to arrive
         max_header_bytes = self._limits.max_header_bytes
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=max_header_bytes)
@@ -188,18 +189,30 @@
         await self._stream.write(*parts)
 
     def close_if_idle(self) -> None:
-        """Close the connection, unless a request has arrived or a response is on its way."""
+        """Close the connection, unless a request has arrived or a response is on its way.
+
+        That includes a request that the system has received and this process has not.
+        """
         if self.idle and not self._closing:
-            self._stream.close()
+            self._close_when_idle = True
+            self._end_wait()
 
     def refuse_partial_request(self) -> None:
         """Answer a request that has not arrived completely with 503."""
         self._refusing = True
+        self._end_wait()
+
+    def _end_wait(self) -> None:
+        """Let a wait for bytes time out now."""
         if self._read_timeout is not None and not self._read_timeout.expired():
             self._read_timeout.reschedule(asyncio.get_running_loop().time())
 
     def abort(self, reason: str) -> None:
         """End the connection now; ``reason`` is logged unless the caller has ended it before."""
+        if self.response_complete and not (
+            self._stream.unread_bytes or self._http.trailing_data[0]
+        ):
+            self._update_has_unsent_response()  # what the system has, it sends
         if not self._stream.disconnected:
             self._abort_reason = self._abort_reason or reason
         if self.response_started and self._http.their_http_version != b"1.1":
@@ -267,16 +280,20 @@
         self._since = asyncio.get_running_loop().time()
         event = self._parse_event()
         while event is h11.NEED_DATA and not self._http.trailing_data[0]:
-            if not await self._wait_readable(lambda: self._limits.idle_timeout_seconds):
+            if not await self._wait_readable(self._idle_limit_seconds):
                 return None
             self._receive_data(await self._stream.read())
             event = self._parse_event()
         if isinstance(event, h11.ConnectionClosed):
             return None
         self._has_request = True
+        self._close_when_idle = False
         self._since = asyncio.get_running_loop().time()
         return await self._read_head_and_body(event)
 
+    def _idle_limit_seconds(self) -> float:
+        return 0.0 if self._close_when_idle else self._limits.idle_timeout_seconds
+
     async def _wait_readable(self, limit_seconds: Callable[[], float]) -> bool:
         """Wait for bytes or the end of the connection; return whether one came in time.
 
@@ -450,6 +467,11 @@
         """Return the number of unanswered requests that have arrived, in part or whole."""
         return sum(not connection.idle for connection in self._task_by_connection)
 
+    @property
+    def open_connections(self) -> int:
+        """Return the number of connections that have not ended, idle ones included."""
+        return len(self._task_by_connection)
+
     async def start(self) -> None:
         """Start listening; raises ``OSError`` if the address cannot be bound.
 
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -19,6 +19,11 @@
         """A request that is cut before 5/6 of the grace period counts as lost."""
         assert DrainPlan.create(0.0, grace, 2.5).requests_until >= grace * 5 / 6
 
+    def test_reason_names_the_grace_period_only_at_its_end(self) -> None:
+        plan = DrainPlan.create(0.0, 8.0, 2.5)
+        assert plan.abort_reason(2.6) == "the daemon has stopped"
+        assert plan.abort_reason(plan.requests_until) == "end of the grace period"
+
 
 class TestAdmission:
     PLAN = DrainPlan.create(0.0, 8.0, 2.5)
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -466,6 +466,23 @@
         assert (message, fields["response"]) == ("response aborted", "written")
         connection.close()
 
+    async def test_response_that_the_system_has_taken_is_not_logged_as_aborted(
+        self, server, handler, caplog
+    ) -> None:
+        """The server stops in the loop turn in which the handler has written its response."""
+
+        async def respond_and_stop(request: ServerRequest, responder: Responder) -> None:
+            await responder.send(200, [], b"whole")
+            server.abort("the daemon has stopped")
+
+        server.handler = respond_and_stop
+        request = b"GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+        assert (await send_bytes(server.address, request)).endswith(b"whole")
+        async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+            while server._task_by_connection:
+                await asyncio.sleep(0.01)
+        assert not caplog.records
+
     async def test_response_that_its_handler_breaks_off(self, server, handler, caplog) -> None:
         connection = await self.start_request(server, handler, b"/cut")
         message, fields = await self.read_end(server, caplog)
@@ -682,6 +699,16 @@
         assert (await read_response(reader)).startswith(b"HTTP/1.1 503")
         writer.close()
 
+    async def test_request_that_only_the_system_has_received_is_answered(self, server) -> None:
+        """The server stopped before the loop had read its bytes, and reset the connection."""
+        http_server, address = server
+        reader, writer, _ = await self.connect(http_server, address)
+        http_server.draining = True
+        writer.get_extra_info("socket")._sock.send(self.REQUEST)
+        http_server.stop_accepting()
+        async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+            assert (await reader.read()).endswith(b"hi")
+
     async def test_idle_connection_is_closed(self, server) -> None:
         http_server, address = server
         reader, writer, _ = await self.connect(http_server, address)
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -118,6 +118,34 @@
         assert len(seconds) > 10
 
 
+class TestOtherServers:
+    """The balancer's probes and the metrics while a daemon without requests stops."""
+
+    async def test_probe_that_crosses_the_close_is_answered(
+        self, testbed, caplog, monkeypatch
+    ) -> None:
+        """Its connection was reset, or its answer called cut off at the end of the grace period."""
+        caplog.set_level(logging.INFO, "ragwortpaddled")
+        server = testbed.daemon._ready_server
+        host, _, port = server.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        await testbed.wait(lambda: server._task_by_connection, "connection of the balancer")
+        stop_accepting = server.stop_accepting
+
+        def receive_and_stop() -> None:
+            probe = b"GET /api/readyz HTTP/1.1\r\nHost: vm\r\nConnection: close\r\n\r\n"
+            writer.get_extra_info("socket")._sock.send(probe)
+            stop_accepting()
+
+        monkeypatch.setattr(server, "stop_accepting", receive_and_stop)
+        await finish(testbed, await stop(testbed))
+        answer = await reader.read()
+        writer.close()
+        assert answer.startswith(b"HTTP/1.1 503")
+        assert answer.endswith(b"not ready")
+        assert "response aborted" not in [r.getMessage() for r in caplog.records]
+
+
 class TestRequestsInFlight:
     """At the end of the grace period each request gets a final answer that is true."""
 
