End forwarded requests of a stopping peer with a true failure

A VM that forwards for another one and gets SIGTERM reset, at the end of its grace period, what it still forwarded. The VM that holds the caller's connection had to take each for one that may have run: an unsafe request got 502 although no endpoint had received it, and it wasn't tried elsewhere. The stopping VM's responses didn't announce the close either, so that the holders kept its connections in their pools and could send on one in the moment of the reset.

The forwarder now ends its requests itself: 'unavailable' if sending to the endpoint hasn't begun (the holder tries the next peer), 'lost' if it has and no response has started, a reset if one has (the holder resumes it if it may be resumed). The line for each forwarded request says that the daemon ended it and why.

On the code before, three of the four new tests failed: no Connection: close, a reset instead of 'lost', and 502 instead of 200 for the unsafe request. The fourth, a stream resumed through another peer, passed before.

--- a/packages/ragwortpaddled/src/ragwortpaddled/_relay_daemon.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/_relay_daemon.py
@@ -231,6 +231,8 @@
         section = self._settings.end
         plan = DrainPlan.create(started_at, section.grace_seconds, section.balancer_lag_ms / 1000)
         self._server.draining = self._forwarder.draining = True
+        if self._forward_server is not None:
+            self._forward_server.draining = True
         self._relay.start_draining(plan)
         logger.info("shutting down", extra={"fields": {"in_flight": self._server.in_flight}})
         await asyncio.sleep(plan.connections_until - started_at)
@@ -241,13 +243,15 @@
         closed_by = min(time.monotonic() + plan.sending_seconds, plan.requests_until)
         await self._wait_for_connections(closed_by)
         await self._wait_for_requests(plan.requests_until)
-        if self._server.in_flight:
-            fields = {"in_flight": self._server.in_flight}
+        if self._in_flight:
+            fields = {"in_flight": self._server.in_flight, "forwarded": self._forwarded_in_flight}
             logger.warning(
                 "requests ended at the end of the grace period", extra={"fields": fields}
             )
             self._relay.end_requests()
-            self._server.refuse_partial_requests()
+            self._forwarder.end_requests(plan.abort_reason(time.monotonic()))
+            for server in self._servers:
+                server.refuse_partial_requests()
             await self._wait_for_requests(plan.responses_until)
         for server in self._servers:
             server.stop_accepting()
@@ -285,8 +289,11 @@
     @property
     def _in_flight(self) -> int:
         """Return the number of unanswered requests of callers and of peers."""
-        forwarded = self._forward_server.in_flight if self._forward_server is not None else 0
-        return self._server.in_flight + forwarded
+        return self._server.in_flight + self._forwarded_in_flight
+
+    @property
+    def _forwarded_in_flight(self) -> int:
+        return self._forward_server.in_flight if self._forward_server is not None else 0
 
     def _caller_limits(self) -> CallerLimits:
         config = self._relay_directory.config
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_forwarding.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_forwarding.py
@@ -5,6 +5,7 @@
 arrives. A peer that is cut off itself, or that knows the endpoint as leaving, refuses.
 """
 
+import asyncio
 import logging
 import time
 from collections.abc import Callable, Iterable
@@ -90,6 +91,15 @@
         return ForwardFailure.LOST
 
 
+@dataclass(eq=False, slots=True)
+class _ForwardedRequest:
+    """A peer's request in flight."""
+
+    timeout: asyncio.Timeout
+    may_have_received: bool = False  # sending the request to the endpoint has begun
+    end_reason: str = ""  # why this daemon has ended it
+
+
 class RequestForwarder:
     """Passes requests of peers on to endpoints."""
 
@@ -107,15 +117,13 @@
         self._connections = connections
         self._keys = keys
         self._dialect = dialect
-        self._running_count = 0
+        self._running: set[_ForwardedRequest] = set()
 
     @property
     def available(self) -> bool:
         """Return whether this daemon can forward requests, which it tells its peers."""
         return not (
-            self.draining
-            or self._reach_monitor.cut
-            or self._running_count >= MAX_FORWARDED_REQUESTS
+            self.draining or self._reach_monitor.cut or len(self._running) >= MAX_FORWARDED_REQUESTS
         )
 
     async def handle(self, request: ServerRequest, responder: Responder) -> None:
@@ -127,12 +135,25 @@
             logger.warning("request to forward refused: %s", error)
             await responder.send(403, [], b"not authentic")
             return
-        self._running_count += 1
         result = "cancelled"
+        forwarded = _ForwardedRequest(asyncio.timeout(None))
         try:
-            result = await self._forward(request, responder, address)
+            async with forwarded.timeout:
+                available = self.available
+                self._running.add(forwarded)
+                if not available:
+                    result = await self._fail(
+                        responder, ForwardFailure.UNAVAILABLE, "not available"
+                    )
+                else:
+                    result = await self._forward(request, responder, address, forwarded)
+        except TimeoutError:
+            if not forwarded.end_reason:
+                raise
+            result = f"ended: {forwarded.end_reason}"
+            await self._fail_ended(responder, forwarded)
         finally:
-            self._running_count -= 1
+            self._running.discard(forwarded)
             telemetry.forwarded_requests.add(1, {"result": result.partition(":")[0]})
             fields = {
                 "address": address,
@@ -144,6 +165,13 @@
                 "request forwarded for a peer", extra={"request_id": attempt_id, "fields": fields}
             )
 
+    def end_requests(self, reason: str) -> None:
+        """End the requests in flight, so that the peers can send them elsewhere if they may."""
+        for forwarded in self._running:
+            if not forwarded.timeout.expired():
+                forwarded.end_reason = reason
+                forwarded.timeout.reschedule(asyncio.get_running_loop().time())
+
     def _verified_address(self, request: ServerRequest) -> str:
         """Return the address that a peer's request names; raise ``PeerRefusedError``."""
         target = request.header(_ADDRESS_HEADER) or b""
@@ -156,9 +184,13 @@
             raise PeerRefusedError("the signature is for another endpoint")
         return target.decode("latin-1")
 
-    async def _forward(self, request: ServerRequest, responder: Responder, address: str) -> str:
-        if not self.available:
-            return await self._fail(responder, ForwardFailure.UNAVAILABLE, "not available")
+    async def _forward(
+        self,
+        request: ServerRequest,
+        responder: Responder,
+        address: str,
+        forwarded: _ForwardedRequest,
+    ) -> str:
         entry = self._relay_directory.entry_at(address)
         if entry is None or entry.leaving:
             return await self._fail(responder, ForwardFailure.NOT_SENT, "not a usable endpoint")
@@ -171,6 +203,7 @@
             headers = without_forwarding_headers(without_hop_by_hop_headers(request.headers))
             if request.body or request.header(b"content-length") is not None:
                 headers.append((b"Content-Length", str(len(request.body)).encode()))
+            forwarded.may_have_received = True
             await connection.send(request.method, request.target, headers, request.body)
             head = await connection.read_head()
             await responder.start(head.status, _response_headers(head))
@@ -209,6 +242,15 @@
         self._reach_monitor.check_endpoint(entry)
         return await self._fail(responder, ForwardFailure.NOT_SENT, str(error))
 
+    async def _fail_ended(self, responder: Responder, forwarded: _ForwardedRequest) -> None:
+        """Tell a peer whether the endpoint may have received a request that was ended."""
+        if responder.complete:
+            return
+        if responder.started:
+            raise ConnectionResetError(forwarded.end_reason)
+        failure = ForwardFailure.LOST if forwarded.may_have_received else ForwardFailure.UNAVAILABLE
+        await self._fail(responder, failure, forwarded.end_reason)
+
     @staticmethod
     async def _fail(responder: Responder, failure: ForwardFailure, reason: str) -> str:
         headers = [(_RESULT_HEADER, failure.value.encode())]
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -7,13 +7,19 @@
 from types import SimpleNamespace
 
 import pytest
-from ragwortpaddle_standins.relay_platform import EVENT_STREAM, attempt_id_of
+from ragwortpaddle_standins.relay_platform import EVENT_STREAM, attempt_id_of, configuration
 from ragwortpaddled.coordination._endpoint_client import Response
 from ragwortpaddled.coordination._forwarding import forwarding_headers
 from ragwortpaddled.coordination._relayed_request import RelayedRequest
 from ragwortpaddled.errors import ReplyLostError
 from ragwortpaddled.relay import RelayDaemon
-from ragwortpaddled.transport import Http1Pool, KeyRing, ResponseHead, ServerRequest
+from ragwortpaddled.transport import (
+    Http1Connection,
+    Http1Pool,
+    KeyRing,
+    ResponseHead,
+    ServerRequest,
+)
 from relay_fleet import RelayFleet, RelayTestBed
 
 FORWARDED = "request forwarded for a peer"
@@ -221,6 +227,95 @@
         del fleet.daemons[1:]
 
 
+class TestPeerThatStops:
+    """A peer gets SIGTERM: it refuses what is new, and ends what it has taken with a true failure.
+
+    It reset what was left at the end, so a request that no endpoint had received was taken for one
+    that may have run.
+    """
+
+    async def send_to_peer(self, fleet: Fleet, path: bytes, attempt: bytes) -> Http1Connection:
+        """Send a signed request to the second daemon, to forward it to a desk."""
+        connection = await Http1Pool().acquire(fleet.daemons[1]._forward_server.address, fresh=True)
+        keys = fleet.cut._peers._keys
+        headers = forwarding_headers(keys, fleet.testbed.desks[0].address, fresh=True)
+        sent = [(b"Host", b"desk.example"), (b"X-Attempt-Id", attempt), *headers]
+        await connection.send(b"GET", path, sent, b"")
+        return connection
+
+    def try_second_daemon_first(self, fleet: Fleet) -> None:
+        by_name = SimpleNamespace(shuffle=lambda peers: peers.sort(key=lambda peer: peer.name))
+        fleet.cut._forwarding_peers._random = by_name
+
+    async def stop_peer(self, fleet: Fleet) -> asyncio.Task[None]:
+        stopping = asyncio.create_task(fleet.daemons[1].shutdown())
+        await asyncio.sleep(0)
+        return stopping
+
+    async def finish(self, fleet: Fleet, stopping: asyncio.Task[None]) -> None:
+        await stopping
+        del fleet.daemons[1]
+
+    async def test_new_request_is_refused_as_not_sent(self, fleet: Fleet) -> None:
+        stopping = await self.stop_peer(fleet)
+        connection = await self.send_to_peer(fleet, b"/look/1", b"a1")
+        head = await connection.read_head()
+        assert (head.status, head.header(b"forward-result")) == (502, b"unavailable")
+        assert head.header(b"connection") == b"close"
+        assert not fleet.received(b"a1")
+        await self.finish(fleet, stopping)
+
+    async def test_request_that_was_sent_on_ends_as_lost(self, fleet: Fleet, caplog) -> None:
+        for desk in fleet.testbed.desks:
+            desk.fault = "hang"
+        connection = await self.send_to_peer(fleet, b"/book/1", b"a1")
+        await fleet.testbed.wait(lambda: fleet.received(b"a1"), "execution")
+        stopping = await self.stop_peer(fleet)
+        head = await connection.read_head()
+        assert (head.status, head.header(b"forward-result")) == (502, b"lost")
+        await self.finish(fleet, stopping)
+        [line] = [r for r in caplog.records if r.getMessage() == FORWARDED]
+        assert line.fields["result"] == "ended: end of the grace period"
+
+    async def test_unsafe_request_that_was_not_sent_on_runs_through_another_peer(
+        self, fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Its caller got 502, although no endpoint had received it."""
+        connecting = asyncio.Event()
+        pool = fleet.daemons[1]._forwarder._connections
+
+        async def connect_without_end(*_: object, **__: object) -> None:
+            connecting.set()
+            await asyncio.Event().wait()
+
+        monkeypatch.setattr(pool, "acquire", connect_without_end)
+        self.try_second_daemon_first(fleet)
+        asking = asyncio.create_task(fleet.testbed.ask(b"POST", b"/book/1"))
+        await connecting.wait()
+        stopping = await self.stop_peer(fleet)
+        head, _ = await asking
+        assert head.status == 200
+        assert len(fleet.received(b"a1")) == 1
+        await self.finish(fleet, stopping)
+
+    async def test_stream_that_may_be_resumed_goes_on_through_another_peer(
+        self, fleet: Fleet
+    ) -> None:
+        testbed = fleet.testbed
+        routes = [dict(route, timeoutMs=20000) for route in configuration()["routes"]]
+        testbed.store.put("config", "main", configuration(2, routes=routes))
+        await testbed.wait(lambda: fleet.cut._relay_directory.config.version == 2, "configuration")
+        self.try_second_daemon_first(fleet)
+        for engine in testbed.engines:
+            engine.event_interval_seconds = 0.6  # the stream takes longer than the grace period
+        connection = await testbed.send(b"POST", b"/ask/1", deadline=b"20000")
+        await connection.read_head()
+        stopping = await self.stop_peer(fleet)
+        assert await connection.read_body() == EVENT_STREAM
+        assert len(fleet.received(b"a1")) == 2
+        await self.finish(fleet, stopping)
+
+
 class TestPeerThatFailsItself:
     """An error of the peer was taken for the endpoint's response."""
 
