Check an incomplete head against the header limit in force

A caller whose connection was opened before a configuration raised max_header_bytes got 431 for a request that the configuration allows: h11 was given the limit once, when the connection was opened. Independently of a change, a head within the limit got 431 if it arrived in more than one read: h11 counts the separators and the request line, the limit counts names, values and the target.

The limit is now checked where the head is parsed, on the configuration in force. An incomplete head may have twice the limit; the complete one is checked as before.

Both tests failed on the code before, with 431 'Receive buffer too long'. The third, a head without end, passed.

--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_server.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_server.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import logging
+import sys
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from typing import Any
@@ -25,6 +26,9 @@
 # caller. So bytes that still arrive after the response are read and discarded first.
 DISCARD_TIMEOUT_SECONDS = 1.0
 LOOP_TURNS_TO_RECEIVE = 2  # the first one finds the bytes, the second one receives them
+# Of the header limit, which counts names, values and the target. A head that is still incomplete
+# also has separators, which the limit does not count.
+MAX_INCOMPLETE_FACTOR = 2
 MAX_DISCARDED_BYTES = 32 * 1024 * 1024
 STATUSES_WITHOUT_BODY = (204, 304)
 COMPLETE_STATES = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
@@ -75,6 +79,10 @@
         self.status = status
 
 
+def _header_limit_error(max_header_bytes: int) -> _RejectedRequestError:
+    return _RejectedRequestError(431, f"the target and headers exceed {max_header_bytes} bytes")
+
+
 class Responder:
     """Writes the response to one request."""
 
@@ -149,8 +157,8 @@
         self._closing = False
         self._close_when_idle = False
         self._since = 0.0  # when the connection became idle or its request began to arrive
-        max_header_bytes = self._limits.max_header_bytes
-        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=max_header_bytes)
+        # The limit may change while the connection is open, so it is checked here and not by h11.
+        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=sys.maxsize)
 
     @property
     def _limits(self) -> CallerLimits:
@@ -326,9 +334,7 @@
             raise _RejectedRequestError(501, "the method CONNECT is not supported")
         header_bytes = sum(len(name) + len(value) for name, value in self._headers)
         if header_bytes + len(event.target) > self._limits.max_header_bytes:
-            raise _RejectedRequestError(
-                431, f"the target and headers exceed {self._limits.max_header_bytes} bytes"
-            )
+            raise _header_limit_error(self._limits.max_header_bytes)
         if self._http.they_are_waiting_for_100_continue:
             await self.send(h11.InformationalResponse(status_code=100, headers=[]))
         body = bytearray()
@@ -355,9 +361,15 @@
 
     def _parse_event(self) -> object:
         try:
-            return self._http.next_event()
+            event = self._http.next_event()
         except h11.RemoteProtocolError as error:
             raise _RejectedRequestError(error.error_status_hint, str(error)) from error
+        max_header_bytes = self._limits.max_header_bytes
+        if event is h11.NEED_DATA:
+            incomplete_bytes = len(self._http.trailing_data[0])
+            if incomplete_bytes > max_header_bytes * MAX_INCOMPLETE_FACTOR:
+                raise _header_limit_error(max_header_bytes)
+        return event
 
     def _receive_data(self, data: bytes) -> None:
         try:
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -299,6 +299,64 @@
         assert response.count(b"HTTP/1.1 200") == 2
 
 
+class TestHeaderLimit:
+    """The limit of the configuration in force counts, however the head arrives."""
+
+    @staticmethod
+    async def send_in_parts(http_server: Http1Server, *parts: bytes, between=lambda: None) -> bytes:
+        """Send each part after the server has parsed what came before it."""
+        host, _, port = http_server.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        sent_bytes = 0
+
+        def parsed(connection) -> bool:
+            return len(connection._http.trailing_data[0]) >= sent_bytes or connection._closing
+
+        try:
+            for part in parts:
+                writer.write(part)
+                sent_bytes += len(part)
+                async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+                    while part != parts[-1] and not any(
+                        parsed(connection) for connection in http_server._task_by_connection
+                    ):
+                        await asyncio.sleep(0.01)
+                between()
+            return await read_response(reader)
+        finally:
+            writer.close()
+
+    async def test_raised_limit_applies_to_an_open_connection(self, handler, start_server) -> None:
+        """A request that the new configuration allows got 431 on a connection opened before."""
+        limits = CallerLimits(max_header_bytes=1000)
+        http_server = await start_server(handler.handle, lambda: limits)
+
+        def raise_limit() -> None:
+            nonlocal limits
+            limits = CallerLimits(max_header_bytes=8000)
+
+        head = b"GET / HTTP/1.1\r\nHost: h\r\nX: " + b"x" * 6000
+        parts = [head[:100], head[100:], b"\r\n\r\n"]
+        response = await self.send_in_parts(http_server, *parts, between=raise_limit)
+        assert response.startswith(b"HTTP/1.1 200")
+
+    async def test_head_within_the_limit_is_accepted_in_parts(self, server) -> None:
+        """Separators counted as headers if the head did not arrive at once."""
+        http_server, _ = server
+        count = LIMITS.max_header_bytes // 24
+        headers = b"".join(b"X-Name-%03d: 0123456789\r\n" % number for number in range(count))
+        head = b"GET / HTTP/1.1\r\nHost: h\r\n" + headers
+        assert len(head) > LIMITS.max_header_bytes
+        response = await self.send_in_parts(http_server, head, b"\r\n")
+        assert response.startswith(b"HTTP/1.1 200")
+
+    async def test_head_without_end_is_rejected(self, server, handler) -> None:
+        _, address = server
+        head = b"GET / HTTP/1.1\r\nHost: h\r\nX: " + b"x" * 2 * LIMITS.max_header_bytes
+        assert (await send_bytes(address, head)).startswith(b"HTTP/1.1 431")
+        assert not handler.requests
+
+
 def pause_process(seconds: float) -> None:
     """Block the event loop, as a pause of the process does."""
     time.sleep(seconds)
