--- a/packages/ragwortpaddled/src/ragwortpaddled/_relay_daemon.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/_relay_daemon.py
@@ -51,6 +51,7 @@
 )
 
 DRAIN_POLL_SECONDS = 0.05
+CLOSE_POLL_SECONDS = 0.01
 TASK_RESTART_SECONDS = 1.0
 SETTINGS_POLL_SECONDS = 2.0  # the file may change without a SIGHUP
 
@@ -230,22 +231,31 @@
         section = self._settings.end
         plan = DrainPlan.create(started_at, section.grace_seconds, section.balancer_lag_ms / 1000)
         self._server.draining = self._forwarder.draining = True
+        if self._forward_server is not None:
+            self._forward_server.draining = True
         self._relay.start_draining(plan)
         logger.info("shutting down", extra={"fields": {"in_flight": self._server.in_flight}})
         await asyncio.sleep(plan.connections_until - started_at)
         self._server.stop_accepting()
         await self._wait_for_requests(plan.requests_until)
-        if self._server.in_flight:
-            fields = {"in_flight": self._server.in_flight}
+        for server in self._servers:
+            server.stop_accepting()
+        closed_by = min(time.monotonic() + plan.sending_seconds, plan.requests_until)
+        await self._wait_for_connections(closed_by)
+        await self._wait_for_requests(plan.requests_until)
+        if self._in_flight:
+            fields = {"in_flight": self._server.in_flight, "forwarded": self._forwarded_in_flight}
             logger.warning(
                 "requests ended at the end of the grace period", extra={"fields": fields}
             )
             self._relay.end_requests()
-            self._server.refuse_partial_requests()
+            self._forwarder.end_requests(plan.abort_reason(time.monotonic()))
+            for server in self._servers:
+                server.refuse_partial_requests()
             await self._wait_for_requests(plan.responses_until)
         for server in self._servers:
             server.stop_accepting()
-            server.abort("end of the grace period")
+            server.abort(plan.abort_reason(time.monotonic()))
         for task in self._tasks:
             task.cancel()
         try:
@@ -266,11 +276,24 @@
         while self._in_flight and time.monotonic() < until:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
+    async def _wait_for_connections(self, until: float) -> None:
+        """Wait until no connection is open, or until a time on the monotonic clock.
+
+        A response reaches its caller for certain if the caller closes the connection first.
+        """
+        while any(server.open_connections for server in self._servers):
+            if time.monotonic() >= until:
+                return
+            await asyncio.sleep(CLOSE_POLL_SECONDS)
+
     @property
     def _in_flight(self) -> int:
         """Return the number of unanswered requests of callers and of peers."""
-        forwarded = self._forward_server.in_flight if self._forward_server is not None else 0
-        return self._server.in_flight + forwarded
+        return self._server.in_flight + self._forwarded_in_flight
+
+    @property
+    def _forwarded_in_flight(self) -> int:
+        return self._forward_server.in_flight if self._forward_server is not None else 0
 
     def _caller_limits(self) -> CallerLimits:
         config = self._relay_directory.config
--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_server.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_server.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import logging
+import sys
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from typing import Any
@@ -25,6 +26,9 @@
 # caller. So bytes that still arrive after the response are read and discarded first.
 DISCARD_TIMEOUT_SECONDS = 1.0
 LOOP_TURNS_TO_RECEIVE = 2  # the first one finds the bytes, the second one receives them
+# Of the header limit, which counts names, values and the target. A head that is still incomplete
+# also has separators, which the limit does not count.
+MAX_INCOMPLETE_FACTOR = 2
 MAX_DISCARDED_BYTES = 32 * 1024 * 1024
 STATUSES_WITHOUT_BODY = (204, 304)
 COMPLETE_STATES = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
@@ -75,6 +79,10 @@
         self.status = status
 
 
+def _header_limit_error(max_header_bytes: int) -> _RejectedRequestError:
+    return _RejectedRequestError(431, f"the target and headers exceed {max_header_bytes} bytes")
+
+
 class Responder:
     """Writes the response to one request."""
 
@@ -147,9 +155,10 @@
         self._read_timeout: asyncio.Timeout | None = None  # of a wait for bytes
         self._keeps_open = True
         self._closing = False
+        self._close_when_idle = False
         self._since = 0.0  # when the connection became idle or its request began to arrive
-        max_header_bytes = self._limits.max_header_bytes
-        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=max_header_bytes)
+        # The limit may change while the connection is open, so it is checked here and not by h11.
+        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=sys.maxsize)
 
     @property
     def _limits(self) -> CallerLimits:
@@ -188,18 +197,30 @@
         await self._stream.write(*parts)
 
     def close_if_idle(self) -> None:
-        """Close the connection, unless a request has arrived or a response is on its way."""
+        """Close the connection, unless a request has arrived or a response is on its way.
+
+        That includes a request that the system has received and this process has not.
+        """
         if self.idle and not self._closing:
-            self._stream.close()
+            self._close_when_idle = True
+            self._end_wait()
 
     def refuse_partial_request(self) -> None:
         """Answer a request that has not arrived completely with 503."""
         self._refusing = True
+        self._end_wait()
+
+    def _end_wait(self) -> None:
+        """Let a wait for bytes time out now."""
         if self._read_timeout is not None and not self._read_timeout.expired():
             self._read_timeout.reschedule(asyncio.get_running_loop().time())
 
     def abort(self, reason: str) -> None:
         """End the connection now; ``reason`` is logged unless the caller has ended it before."""
+        if self.response_complete and not (
+            self._stream.unread_bytes or self._http.trailing_data[0]
+        ):
+            self._update_has_unsent_response()  # what the system has, it sends
         if not self._stream.disconnected:
             self._abort_reason = self._abort_reason or reason
         if self.response_started and self._http.their_http_version != b"1.1":
@@ -267,16 +288,20 @@
         self._since = asyncio.get_running_loop().time()
         event = self._parse_event()
         while event is h11.NEED_DATA and not self._http.trailing_data[0]:
-            if not await self._wait_readable(lambda: self._limits.idle_timeout_seconds):
+            if not await self._wait_readable(self._idle_limit_seconds):
                 return None
             self._receive_data(await self._stream.read())
             event = self._parse_event()
         if isinstance(event, h11.ConnectionClosed):
             return None
         self._has_request = True
+        self._close_when_idle = False
         self._since = asyncio.get_running_loop().time()
         return await self._read_head_and_body(event)
 
+    def _idle_limit_seconds(self) -> float:
+        return 0.0 if self._close_when_idle else self._limits.idle_timeout_seconds
+
     async def _wait_readable(self, limit_seconds: Callable[[], float]) -> bool:
         """Wait for bytes or the end of the connection; return whether one came in time.
 
@@ -309,9 +334,7 @@
             raise _RejectedRequestError(501, "the method CONNECT is not supported")
         header_bytes = sum(len(name) + len(value) for name, value in self._headers)
         if header_bytes + len(event.target) > self._limits.max_header_bytes:
-            raise _RejectedRequestError(
-                431, f"the target and headers exceed {self._limits.max_header_bytes} bytes"
-            )
+            raise _header_limit_error(self._limits.max_header_bytes)
         if self._http.they_are_waiting_for_100_continue:
             await self.send(h11.InformationalResponse(status_code=100, headers=[]))
         body = bytearray()
@@ -338,9 +361,15 @@
 
     def _parse_event(self) -> object:
         try:
-            return self._http.next_event()
+            event = self._http.next_event()
         except h11.RemoteProtocolError as error:
             raise _RejectedRequestError(error.error_status_hint, str(error)) from error
+        max_header_bytes = self._limits.max_header_bytes
+        if event is h11.NEED_DATA:
+            incomplete_bytes = len(self._http.trailing_data[0])
+            if incomplete_bytes > max_header_bytes * MAX_INCOMPLETE_FACTOR:
+                raise _header_limit_error(max_header_bytes)
+        return event
 
     def _receive_data(self, data: bytes) -> None:
         try:
@@ -450,6 +479,11 @@
         """Return the number of unanswered requests that have arrived, in part or whole."""
         return sum(not connection.idle for connection in self._task_by_connection)
 
+    @property
+    def open_connections(self) -> int:
+        """Return the number of connections that have not ended, idle ones included."""
+        return len(self._task_by_connection)
+
     async def start(self) -> None:
         """Start listening; raises ``OSError`` if the address cannot be bound.
 
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -299,6 +299,64 @@
         assert response.count(b"HTTP/1.1 200") == 2
 
 
+class TestHeaderLimit:
+    """The limit of the configuration in force counts, however the head arrives."""
+
+    @staticmethod
+    async def send_in_parts(http_server: Http1Server, *parts: bytes, between=lambda: None) -> bytes:
+        """Send each part after the server has parsed what came before it."""
+        host, _, port = http_server.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        sent_bytes = 0
+
+        def parsed(connection) -> bool:
+            return len(connection._http.trailing_data[0]) >= sent_bytes or connection._closing
+
+        try:
+            for part in parts:
+                writer.write(part)
+                sent_bytes += len(part)
+                async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+                    while part != parts[-1] and not any(
+                        parsed(connection) for connection in http_server._task_by_connection
+                    ):
+                        await asyncio.sleep(0.01)
+                between()
+            return await read_response(reader)
+        finally:
+            writer.close()
+
+    async def test_raised_limit_applies_to_an_open_connection(self, handler, start_server) -> None:
+        """A request that the new configuration allows got 431 on a connection opened before."""
+        limits = CallerLimits(max_header_bytes=1000)
+        http_server = await start_server(handler.handle, lambda: limits)
+
+        def raise_limit() -> None:
+            nonlocal limits
+            limits = CallerLimits(max_header_bytes=8000)
+
+        head = b"GET / HTTP/1.1\r\nHost: h\r\nX: " + b"x" * 6000
+        parts = [head[:100], head[100:], b"\r\n\r\n"]
+        response = await self.send_in_parts(http_server, *parts, between=raise_limit)
+        assert response.startswith(b"HTTP/1.1 200")
+
+    async def test_head_within_the_limit_is_accepted_in_parts(self, server) -> None:
+        """Separators counted as headers if the head did not arrive at once."""
+        http_server, _ = server
+        count = LIMITS.max_header_bytes // 24
+        headers = b"".join(b"X-Name-%03d: 0123456789\r\n" % number for number in range(count))
+        head = b"GET / HTTP/1.1\r\nHost: h\r\n" + headers
+        assert len(head) > LIMITS.max_header_bytes
+        response = await self.send_in_parts(http_server, head, b"\r\n")
+        assert response.startswith(b"HTTP/1.1 200")
+
+    async def test_head_without_end_is_rejected(self, server, handler) -> None:
+        _, address = server
+        head = b"GET / HTTP/1.1\r\nHost: h\r\nX: " + b"x" * 2 * LIMITS.max_header_bytes
+        assert (await send_bytes(address, head)).startswith(b"HTTP/1.1 431")
+        assert not handler.requests
+
+
 def pause_process(seconds: float) -> None:
     """Block the event loop, as a pause of the process does."""
     time.sleep(seconds)
@@ -466,6 +524,23 @@
         assert (message, fields["response"]) == ("response aborted", "written")
         connection.close()
 
+    async def test_response_that_the_system_has_taken_is_not_logged_as_aborted(
+        self, server, handler, caplog
+    ) -> None:
+        """The server stops in the loop turn in which the handler has written its response."""
+
+        async def respond_and_stop(request: ServerRequest, responder: Responder) -> None:
+            await responder.send(200, [], b"whole")
+            server.abort("the daemon has stopped")
+
+        server.handler = respond_and_stop
+        request = b"GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+        assert (await send_bytes(server.address, request)).endswith(b"whole")
+        async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+            while server._task_by_connection:
+                await asyncio.sleep(0.01)
+        assert not caplog.records
+
     async def test_response_that_its_handler_breaks_off(self, server, handler, caplog) -> None:
         connection = await self.start_request(server, handler, b"/cut")
         message, fields = await self.read_end(server, caplog)
@@ -682,6 +757,16 @@
         assert (await read_response(reader)).startswith(b"HTTP/1.1 503")
         writer.close()
 
+    async def test_request_that_only_the_system_has_received_is_answered(self, server) -> None:
+        """The server stopped before the loop had read its bytes, and reset the connection."""
+        http_server, address = server
+        reader, writer, _ = await self.connect(http_server, address)
+        http_server.draining = True
+        writer.get_extra_info("socket")._sock.send(self.REQUEST)
+        http_server.stop_accepting()
+        async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+            assert (await reader.read()).endswith(b"hi")
+
     async def test_idle_connection_is_closed(self, server) -> None:
         http_server, address = server
         reader, writer, _ = await self.connect(http_server, address)
