Verify an engine that another one names before it counts as lost

Cause: a refusal that came 0.5 s or more after its request was sent was recorded as the loss of the engine that it names, avoided for 4 s and told to peers; two such daemons of 90 made a quorum. What a first engine reported as stalled was recorded in the same way, though the named engine may be silent for a second.

Now such an engine is avoided at once by the VM that notices, and checked as what only this VM has noticed is. If it accepts a connection, it is used again after the backoff of a full engine (late refusal) or of a failure (stall). If it refuses connections, which silence can't cause, and a peer doesn't reach it either, it is told as lost at once; if it neither accepts nor refuses, after 1.5 s as before. An engine that accepts connections but for which other engines wait over more than 1.5 s without running anything new is told as lost too. Messages between daemons are unchanged.

Evidence: test_engine_that_refuses_late_is_not_counted_as_lost and test_engine_that_others_wait_for_a_moment_is_not_counted_as_lost failed on the code before (own_suspect_ids named the engine) and pass now; test_engine_that_others_wait_for_is_replaced_though_it_accepts_connections passes on both.

test_checks_of_one_that_stays_dead_end counts connection attempts in _try_connect, which all of _connects goes through, instead of _connects.

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_attempts.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_attempts.py
@@ -119,16 +119,29 @@
     def record_endpoint_failure(self, error: EndpointError, target: Target) -> float:
         """Suspect an endpoint; return for how many seconds.
 
-        What another engine reports is evidence that it is lost. What only this VM has noticed is
-        verified first.
+        Peers are told that it is lost only once that is verified: an engine that does not respond
+        may be silent for a moment, and one that refuses a request late may lack memory.
         """
         if isinstance(error, UnreachableError | UnresponsiveError | ResponseLostError):
             self.reach_monitor.check_endpoint(target.endpoint)
             if target.path and not isinstance(error, ResponseLostError):
                 return target.loads.record_unreachable(error.endpoint)
             return target.loads.record_failure(error.endpoint)
-        lost = isinstance(error, StalledError | NotRunError) and bool(target.path)
-        return target.loads.record_failure(error.endpoint, suspected_lost=lost)
+        if not (isinstance(error, StalledError | NotRunError) and target.path):
+            return target.loads.record_failure(error.endpoint)
+        refused = isinstance(error, NotRunError)
+        self.reach_monitor.check_named_engine(error.endpoint, full=refused)
+        if refused:
+            return target.loads.record_unreachable(error.endpoint)
+        load = target.loads.get(error.endpoint)
+        known = load.suspected_lost
+        seconds = target.loads.record_stalled(error.endpoint)
+        if load.suspected_lost and not known:
+            stalled_ms = int(load.stalled_seconds * 1000)
+            log_request(
+                self.metadata, "engine lost", endpoint=error.endpoint, stalled_ms=stalled_ms
+            )
+        return seconds
 
     async def _acquire(self) -> Target:
         is_retry = self._arrivals > 0
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_reach_monitor.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_reach_monitor.py
@@ -12,11 +12,16 @@
 import time
 from collections import Counter
 from collections.abc import Awaitable, Callable, Sequence
+from enum import Enum, auto
 
 from ragwortpaddled.coordination._relay_directory import RelayDirectory
 from ragwortpaddled.errors import NotSentError
 from ragwortpaddled.protocol import EndpointEntry
-from ragwortpaddled.state import MIN_UNREACHABLE_ENDPOINTS, EndpointReach
+from ragwortpaddled.state import (
+    MIN_UNREACHABLE_ENDPOINTS,
+    MIN_UNREACHABLE_SECONDS,
+    EndpointReach,
+)
 from ragwortpaddled.transport import Http1Pool
 
 # New connections are billed, so a few endpoints are tried first. A sound one accepts within
@@ -31,8 +36,6 @@
 MAX_SILENCE_SECONDS = 0.25
 SILENCE_POLL_SECONDS = 0.1
 MIN_CHECK_INTERVAL_SECONDS = 0.5  # a check that has found working links holds for so long
-# A healthy endpoint may not respond for about a second.
-MIN_UNREACHABLE_SECONDS = 1.5
 
 # Asks a peer whether an address accepts connections; None if no peer can tell. The second argument
 # is the number of seconds for which it has not accepted any here.
@@ -41,6 +44,14 @@
 logger = logging.getLogger(__name__)
 
 
+class _Connect(Enum):
+    """The result of a connection attempt."""
+
+    ACCEPTED = auto()
+    REFUSED = auto()  # no process listens there, which a moment of silence can't cause
+    FAILED = auto()
+
+
 class ReachMonitor:
     """Checks unreachable endpoints, and this VM's own links."""
 
@@ -99,14 +110,33 @@
             await self._run_check(unreachable_address)
         return self.cut
 
-    def check_endpoint(self, entry: EndpointEntry) -> None:
-        """Find out in the background whether an endpoint that did not respond is lost."""
+    def check_endpoint(
+        self, entry: EndpointEntry, on_reachable: Callable[[], float] | None = None
+    ) -> None:
+        """Find out in the background whether an endpoint that did not respond is lost.
+
+        ``on_reachable`` is given if another engine has named it: it is called if the endpoint
+        accepts connections from this VM, and returns for how many seconds it is still avoided. A
+        check that goes on is not begun again.
+        """
         if entry.id in self._verify_task_by_id:
             return
-        task = asyncio.create_task(self._verify_lost(entry))
+        task = asyncio.create_task(self._verify_lost(entry, on_reachable))
         self._verify_task_by_id[entry.id] = task
         task.add_done_callback(lambda _: self._verify_task_by_id.pop(entry.id, None))
 
+    def check_named_engine(self, endpoint_id: str, *, full: bool) -> None:
+        """Check an engine that another one, or a late refusal, has named as failed.
+
+        One that accepts connections is avoided for a shorter time; ``full``: it may have lacked
+        memory.
+        """
+        entry = self._relay_directory.entry_by_id.get(endpoint_id)
+        if entry is None:
+            return
+        loads = self._relay_directory.loads
+        self.check_endpoint(entry, lambda: loads.record_reachable(endpoint_id, full=full))
+
     async def accepts_connections(self, entry: EndpointEntry) -> bool | None:
         """Return whether an endpoint accepts a new connection: one that has crashed does not.
 
@@ -180,27 +210,38 @@
         if not task.cancelled() and task.exception() is not None:
             logger.error("check of the links to endpoints failed", exc_info=task.exception())
 
-    async def _verify_lost(self, entry: EndpointEntry) -> None:
-        """Report an endpoint as lost if neither this VM nor a peer reaches it for some time."""
+    async def _verify_lost(
+        self, entry: EndpointEntry, on_reachable: Callable[[], float] | None
+    ) -> None:
+        """Report an endpoint as lost if neither this VM nor a peer reaches it for some time.
+
+        One that another engine has named too is lost at once if it refuses connections.
+        """
         failed_at = time.monotonic()
         while True:
             unreachable_seconds = time.monotonic() - failed_at
-            reachable = await self._connects(entry.address)
+            connect = await self._try_connect(entry.address)
+            reachable = connect is _Connect.ACCEPTED
             if not reachable and await self.check_links(entry.address):
                 return
             from_peer = (
                 None if reachable else await self._ask_peer(entry.address, unreachable_seconds)
             )
-            fields = {
+            fields: dict[str, object] = {
                 "endpoint": entry.id,
                 "reachable": reachable,
+                "refused": connect is _Connect.REFUSED,
+                "named_by_engine": on_reachable is not None,
                 "reachable_from_peer": from_peer,
                 "unreachable_ms": int(unreachable_seconds * 1000),
             }
+            if reachable and on_reachable is not None:
+                fields["avoided_ms"] = int(on_reachable() * 1000)
             if reachable or from_peer is not False:
                 logger.info("endpoint not confirmed as lost", extra={"fields": fields})
                 return
-            if unreachable_seconds >= MIN_UNREACHABLE_SECONDS:
+            refused_when_named = connect is _Connect.REFUSED and on_reachable is not None
+            if refused_when_named or unreachable_seconds >= MIN_UNREACHABLE_SECONDS:
                 break
             elapsed_seconds = time.monotonic() - failed_at
             await asyncio.sleep(max(0.0, MIN_UNREACHABLE_SECONDS - elapsed_seconds))
@@ -249,12 +290,16 @@
         }
 
     async def _connects(self, address: str) -> bool:
+        return await self._try_connect(address) is _Connect.ACCEPTED
+
+    async def _try_connect(self, address: str) -> _Connect:
         try:
             connection = await self._connections.acquire(address, fresh=True)
-        except NotSentError:
-            return False
+        except NotSentError as error:
+            refused = isinstance(error.__cause__, ConnectionRefusedError)
+            return _Connect.REFUSED if refused else _Connect.FAILED
         connection.close()
-        return True
+        return _Connect.ACCEPTED
 
     def _record(self, connected_by_address: dict[str, bool]) -> None:
         lasted_seconds = time.monotonic() - self._reach.changed_at
--- a/packages/ragwortpaddled/src/ragwortpaddled/state/__init__.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/__init__.py
@@ -11,7 +11,12 @@
 from ragwortpaddled.state._crash_records import CrashRecords
 from ragwortpaddled.state._departures import HOLD_SECONDS, Departures
 from ragwortpaddled.state._drain import DrainPlan, ResponseTimes
-from ragwortpaddled.state._endpoint_loads import EndpointLoad, EndpointLoads, Suspicion
+from ragwortpaddled.state._endpoint_loads import (
+    MIN_UNREACHABLE_SECONDS,
+    EndpointLoad,
+    EndpointLoads,
+    Suspicion,
+)
 from ragwortpaddled.state._endpoint_reach import MIN_UNREACHABLE_ENDPOINTS, EndpointReach
 from ragwortpaddled.state._endpoints import Circuit, CircuitState, Endpoint, EndpointTable
 from ragwortpaddled.state._event_splitter import EventSplitter
@@ -95,6 +100,7 @@
     "MAX_KEY_BYTES",
     "MAX_RECORDED_BODY_BYTES",
     "MIN_UNREACHABLE_ENDPOINTS",
+    "MIN_UNREACHABLE_SECONDS",
     "NO_UNREPORTED_LOAD",
     "OBJECTS_PREFIX",
     "RECORD_TTL_SECONDS",
--- a/packages/ragwortpaddled/src/ragwortpaddled/state/_endpoint_loads.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/_endpoint_loads.py
@@ -17,11 +17,15 @@
 MAX_OVERLOAD_BACKOFF_SECONDS = 2.4
 # Doubles on each consecutive failure; a crashed endpoint restarts within a few seconds.
 INITIAL_SUSPICION_SECONDS = 1.0
-# An engine that another engine reports as failed, or that refuses a request after queueing it, has
-# lost its sequences. It is suspected until its registry entry has expired, which takes three
-# heartbeat intervals of about a second.
+# A lost engine is suspected until its registry entry has expired, which takes three heartbeat
+# intervals of about a second.
 LOST_ENGINE_SUSPICION_SECONDS = 4.0
 MAX_SUSPICION_SECONDS = 4.0
+# A healthy endpoint may not respond for about a second.
+MIN_UNREACHABLE_SECONDS = 1.5
+# An engine is tried again after at most MAX_SUSPICION_SECONDS, and a request that waits for it then
+# stalls for up to 2 s. Reports that lie further apart are about different stalls.
+MAX_STALL_GAP_SECONDS = 6.0
 SUSPICION_QUORUM = 2  # a single daemon may only have lost its own connection to the endpoint
 # Both reports are outdated after the typical duration of a generation.
 PEER_REPORT_TTL_SECONDS = 2.0
@@ -43,6 +47,8 @@
     refused_at: float = 0.0
     suspected_lost: bool = False
     suspected_lost_since: float = 0.0
+    stalled_since: float = 0.0  # first report that other engines wait for it; 0 without one
+    stalled_at: float = 0.0  # the last such report
     suspecting_peer_count: int = 0
 
     def other_requests(self, now: float) -> float:
@@ -73,6 +79,11 @@
         """Forget that the engine was suspected to be lost, if that time is over."""
         self.suspected_lost = self.suspected_lost and time.monotonic() < self.suspect_until
 
+    @property
+    def stalled_seconds(self) -> float:
+        """Return the time between the first and the last report that engines wait for this one."""
+        return self.stalled_at - self.stalled_since if self.stalled_since else 0.0
+
     def confirmed_lost(self, now: float) -> bool:
         """Return whether a quorum of daemons suspects the engine to be lost."""
         own_vote = 1 if self.suspected_lost and now < self.suspect_until else 0
@@ -238,6 +249,38 @@
         load.suspect_until = time.monotonic() + LOST_ENGINE_SUSPICION_SECONDS
         return LOST_ENGINE_SUSPICION_SECONDS
 
+    def record_stalled(self, endpoint_id: str) -> float:
+        """Record that another engine waits for an engine; return how many seconds it is avoided.
+
+        It counts as lost once it has not run a request for longer than a healthy one is silent.
+        """
+        load = self.get(endpoint_id)
+        now = time.monotonic()
+        if not load.stalled_since or now - load.stalled_at > MAX_STALL_GAP_SECONDS:
+            load.stalled_since = now
+        load.stalled_at = now
+        if load.stalled_seconds >= MIN_UNREACHABLE_SECONDS:
+            return self.record_lost(endpoint_id)
+        return self.record_unreachable(endpoint_id)
+
+    def record_reachable(self, endpoint_id: str, *, full: bool) -> float:
+        """Shorten the suspicion of an engine that accepts connections; return what is left of it.
+
+        ``full``: it has refused a request, so it has only lacked memory.
+        """
+        load = self.get(endpoint_id)
+        load.end_expired_suspicion()
+        now = time.monotonic()
+        if load.suspected_lost:
+            return load.suspect_until - now
+        load.suspect_until = now
+        if full:
+            load.failures = max(0, load.failures - 1)
+            return self.record_overload(endpoint_id)
+        seconds = _failure_suspicion_seconds(load.failures)
+        load.suspect_until = now + seconds
+        return seconds
+
     def record_lost(self, endpoint_id: str) -> float:
         """Suspect an engine to be lost, and tell peers so; return for how many seconds."""
         return self.record_failure(endpoint_id, suspected_lost=True)
@@ -258,7 +301,7 @@
         if suspected_lost:
             load.suspect_until = time.monotonic() + LOST_ENGINE_SUSPICION_SECONDS
             return LOST_ENGINE_SUSPICION_SECONDS
-        seconds = min(MAX_SUSPICION_SECONDS, INITIAL_SUSPICION_SECONDS * 2 ** (load.failures - 1))
+        seconds = _failure_suspicion_seconds(load.failures)
         load.suspect_until = time.monotonic() + seconds
         return seconds
 
@@ -292,6 +335,8 @@
         load = self.get(endpoint_id)
         if sent_at > load.refused_at:
             load.consecutive_overloads = 0
+        if sent_at > load.stalled_at:
+            load.stalled_since = 0.0
 
     def record_success(self, endpoint_id: str, *, sent_at: float = math.inf) -> bool:
         """Clear the failures of an endpoint; return whether there were any.
@@ -303,6 +348,8 @@
         had_failures = load.failures > 0
         load.failures = 0
         load.suspected_lost = False
+        if sent_at > load.stalled_at:
+            load.stalled_since = 0.0
         if sent_at > load.refused_at:
             load.consecutive_overloads = 0
             load.suspect_until = 0.0
@@ -313,3 +360,7 @@
         for endpoint_id, load in list(self.load_by_id.items()):
             if endpoint_id not in known_ids and not (load.own_requests or load.peer_requests):
                 del self.load_by_id[endpoint_id]
+
+
+def _failure_suspicion_seconds(failures: int) -> float:
+    return min(MAX_SUSPICION_SECONDS, INITIAL_SUSPICION_SECONDS * 2 ** max(0, failures - 1))
--- a/packages/standins/src/ragwortpaddle_standins/relay_platform.py
+++ b/packages/standins/src/ragwortpaddle_standins/relay_platform.py
@@ -476,8 +476,9 @@
     through this engine stalls, then its connection is reset). With ``unframed``, ``unframed torn``
     and ``unframed empty``, a stream has neither a length nor chunks and ends with its connection:
     when complete, within an event, or before the first one. ``error``, ``refusal`` and ``missing``
-    answer with an error status. A request with a prompt part in
-    ``deadly_parts`` crashes the engine when it begins to run; the engine restarts without layers.
+    answer with an error status, ``refusal`` after ``refusal_delay_seconds``. A request with a
+    prompt part in ``deadly_parts`` crashes the engine when it begins to run; the engine restarts
+    without layers.
     ``fall_silent`` stops everything for a while, reports too, and then goes on.
     """
 
@@ -486,6 +487,7 @@
     highest_fence = 0
     accepted_order_count = 0
     load_seconds = 0.0
+    refusal_delay_seconds = 0.0
     event_interval_seconds = EVENT_INTERVAL_SECONDS
     load_task: asyncio.Task[None] | None = None
     deadly_parts: frozenset[str] = frozenset()
@@ -607,6 +609,7 @@
         if self.fault in ERROR_STATUS_BY_FAULT:
             headers = self._response_headers(request)
             if self.fault == "refusal":
+                await asyncio.sleep(self.refusal_delay_seconds)
                 headers.append((b"X-Not-Executed", b"1"))
             await responder.send(ERROR_STATUS_BY_FAULT[self.fault], headers, b"failed")
             return
--- a/tests/test_endpoint_loads.py
+++ b/tests/test_endpoint_loads.py
@@ -125,3 +125,74 @@
         loads.record_overload("engine-1")
         loads.forget_own_failures()
         assert loads.get("engine-1").suspect(time.monotonic())
+
+
+class TestStalledEngine:
+    """Reports that other engines wait for an engine: a moment of silence, or its end."""
+
+    def test_stalls_of_a_silent_moment_are_not_told(self, clock: Clock) -> None:
+        loads = EndpointLoads()
+        for _ in range(5):
+            loads.record_stalled("e")
+            clock.now += 0.2
+        assert loads.own_suspect_ids() == []
+        assert loads.get("e").suspect(clock.now)
+
+    def test_stalls_that_go_on_are_told(self, clock: Clock) -> None:
+        loads = EndpointLoads()
+        loads.record_stalled("e")
+        clock.now += 2.0
+        loads.record_stalled("e")
+        assert loads.own_suspect_ids() == ["e"]
+
+    def test_engine_that_ran_a_request_between_two_silent_moments_is_not_lost(
+        self, clock: Clock
+    ) -> None:
+        loads = EndpointLoads()
+        loads.record_stalled("e")
+        clock.now += 1.2
+        loads.record_acceptance("e", sent_at=clock.now)
+        clock.now += 1.0
+        loads.record_stalled("e")
+        assert loads.own_suspect_ids() == []
+
+    def test_answer_to_an_earlier_request_does_not_end_a_stall(self, clock: Clock) -> None:
+        loads = EndpointLoads()
+        sent_at = clock.now - 1.0
+        loads.record_stalled("e")
+        clock.now += 2.0
+        loads.record_acceptance("e", sent_at=sent_at)
+        loads.record_stalled("e")
+        assert loads.own_suspect_ids() == ["e"]
+
+    def test_silent_moments_far_apart_are_not_one_stall(self, clock: Clock) -> None:
+        loads = EndpointLoads()
+        loads.record_stalled("e")
+        clock.now += 30.0
+        loads.record_stalled("e")
+        assert loads.own_suspect_ids() == []
+
+
+class TestReachableEngine:
+    def test_full_engine_is_tried_again_soon(self, clock: Clock) -> None:
+        loads = EndpointLoads()
+        loads.record_unreachable("e")
+        loads.record_reachable("e", full=True)
+        clock.now += 0.2
+        assert not loads.get("e").suspect(clock.now)
+
+    def test_stalled_engine_is_avoided_for_the_time_of_a_failure(self, clock: Clock) -> None:
+        loads = EndpointLoads()
+        loads.record_stalled("e")
+        loads.record_reachable("e", full=False)
+        clock.now += 0.9
+        assert loads.get("e").suspect(clock.now)
+        clock.now += 0.2
+        assert not loads.get("e").suspect(clock.now)
+
+    def test_loss_that_is_confirmed_is_not_shortened(self, clock: Clock) -> None:
+        loads = EndpointLoads()
+        loads.record_lost("e")
+        loads.record_reachable("e", full=True)
+        clock.now += 3.9
+        assert loads.get("e").suspect(clock.now)
--- a/tests/test_endpoint_reach.py
+++ b/tests/test_endpoint_reach.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 
 import pytest
 from ragwortpaddled.coordination import ReachMonitor
@@ -82,13 +83,16 @@
 
 
 class _Connections:
-    """A pool whose connections succeed only to some addresses."""
+    """A pool whose connections succeed only to some addresses; ``refusing`` ones refuse them."""
 
     def __init__(self, reachable: set[str]) -> None:
         self.reachable = reachable
+        self.refusing: set[str] = set()
 
     async def acquire(self, address: str, *, fresh: bool = False) -> _Connection:
         await asyncio.sleep(0)
+        if address in self.refusing:
+            raise NotSentError(address) from ConnectionRefusedError()
         if address not in self.reachable:
             raise NotSentError(address)
         return _Connection()
@@ -167,6 +171,45 @@
         await self.wait_for_check(monitor)
         assert not directory.loads.own_suspect_ids()
 
+    async def test_named_engine_that_refuses_connections_is_lost_at_once(
+        self, directory: _Directory
+    ) -> None:
+        monitor = new_monitor(directory, self.ALL - {"address-0"}, peer_answer=False)
+        monitor._connections.refusing = {"address-0"}
+        monitor.check_named_engine("e0", full=False)
+        async with asyncio.timeout(1):
+            await self.wait_for_check(monitor)
+        assert directory.loads.own_suspect_ids() == ["e0"]
+
+    @pytest.mark.parametrize("refuses", [True, False])
+    async def test_named_engine_that_a_peer_reaches_is_not_lost(
+        self, directory: _Directory, refuses: bool
+    ) -> None:
+        monitor = new_monitor(directory, self.ALL - {"address-0"}, peer_answer=True)
+        monitor._connections.refusing = {"address-0"} if refuses else set()
+        monitor.check_named_engine("e0", full=False)
+        await self.wait_for_check(monitor)
+        assert not directory.loads.own_suspect_ids()
+
+    async def test_named_engine_that_is_silent_for_a_moment_is_not_lost(
+        self, directory: _Directory
+    ) -> None:
+        monitor = new_monitor(directory, self.ALL - {"address-0"}, peer_answer=False)
+        monitor.check_named_engine("e0", full=False)
+        await asyncio.sleep(0.1)
+        monitor._connections.reachable = self.ALL
+        await self.wait_for_check(monitor)
+        assert not directory.loads.own_suspect_ids()
+
+    async def test_reachable_engine_that_refused_late_is_used_again_soon(
+        self, directory: _Directory
+    ) -> None:
+        monitor = new_monitor(directory, set(self.ALL), peer_answer=None)
+        directory.loads.record_unreachable("e0")
+        monitor.check_named_engine("e0", full=True)
+        await self.wait_for_check(monitor)
+        assert not directory.loads.get("e0").suspect(time.monotonic() + 0.2)
+
     async def test_return_of_the_links_is_noticed_without_requests(
         self, directory: _Directory
     ) -> None:
--- a/tests/test_stranded_vm.py
+++ b/tests/test_stranded_vm.py
@@ -11,6 +11,7 @@
 from endpoint_cut import Way, patch_connect
 from ragwortpaddle_standins.relay_platform import (
     EVENT_STREAM,
+    Engine,
     Service,
     attempt_id_of,
     caller_headers,
@@ -29,6 +30,7 @@
 MAX_ATTEMPTS = 2  # of every route of the test bed
 DEADLINE_SLACK_MS = 500  # the platform's limit for time passed on beyond what is left
 SILENCE_SECONDS = 1.2  # a sound endpoint may fall silent for so long
+LATE_REFUSAL_SECONDS = 0.6  # after a time in the queue
 
 PATH_BY_KIND = {
     "stream": b"/ask/",
@@ -427,13 +429,13 @@
         opened_at: list[float] = []
         for daemon in fleet.daemons:
             fleet.cut_of(daemon).start(Way.REFUSE, {engine.address})
-            connects = daemon._reach_monitor._connects
+            try_connect = daemon._reach_monitor._try_connect
 
-            async def count_and_connect(address: str, connects=connects) -> bool:
+            async def count_and_connect(address: str, try_connect=try_connect) -> object:
                 opened_at.append(time.monotonic())
-                return await connects(address)
+                return await try_connect(address)
 
-            daemon._reach_monitor._connects = count_and_connect
+            daemon._reach_monitor._try_connect = count_and_connect
         daemon = fleet.daemons[0]
         started_at = time.monotonic()
         daemon._reach_monitor.check_endpoint(daemon._relay_directory.entry_by_id[engine.id])
@@ -523,6 +525,47 @@
         assert not fleet.crash_records()
         fleet.check_runs(held_up_until=healed_at)
 
+    async def test_engine_that_refuses_late_is_not_counted_as_lost(
+        self, fleet: StrandedFleet
+    ) -> None:
+        """A full engine refused queued requests, and daemons told each other that it was lost."""
+        engine = next(e for e in fleet.testbed.engines if e.layers and not e.layers[0])
+        engine.refusal_delay_seconds = LATE_REFUSAL_SECONDS
+        engine.fault = "refusal"
+        await self.check_is_not_lost(fleet, engine, CONTACT_SECONDS)
+        assert engine.received_requests
+
+    async def test_engine_that_others_wait_for_a_moment_is_not_counted_as_lost(
+        self, fleet: StrandedFleet
+    ) -> None:
+        """First engines reported stalls behind a silent engine, and it was replaced at once."""
+        engine = next(e for e in fleet.testbed.engines if e.layers and e.layers[0])
+        engine.fault = "dark"
+        asyncio.get_running_loop().call_later(SILENCE_SECONDS, setattr, engine, "fault", "")
+        await self.check_is_not_lost(fleet, engine, CONTACT_SECONDS)
+        assert any(e.stalled_address_by_attempt for e in fleet.testbed.engines)
+
+    async def test_engine_that_others_wait_for_is_replaced_though_it_accepts_connections(
+        self, fleet: StrandedFleet
+    ) -> None:
+        fleet.start_callers("stream")
+        engine = next(e for e in fleet.testbed.engines if e.layers and e.layers[0])
+        engine.fault = "dark"
+        await fleet.testbed.wait(lambda: not self.is_planned(fleet, engine.id), "repair")
+
+    @staticmethod
+    async def check_is_not_lost(fleet: StrandedFleet, engine: Engine, seconds: float) -> None:
+        """Check for a time with callers that no daemon counts an engine as lost or says so."""
+        fleet.start_callers("stream")
+        ends_at = time.monotonic() + seconds
+        while time.monotonic() < ends_at:
+            for daemon in fleet.daemons:
+                loads = daemon._relay_directory.loads
+                assert not loads.own_suspect_ids()
+                assert engine.id not in loads.confirmed_lost_ids()
+            await asyncio.sleep(0.02)
+        await fleet.stop_callers()
+
     @staticmethod
     def is_planned(fleet: StrandedFleet, engine_id: str) -> bool:
         """Return whether the stored plan has layers for an engine."""
