--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -316,6 +316,36 @@
         await self.finish(fleet, stopping)
 
 
+class TestChangeWhileForwarding:
+    """What a peer has taken goes on when a configuration or an entry goes away."""
+
+    @pytest.mark.parametrize("path", [b"/ask/1", b"/once/1"])
+    @pytest.mark.parametrize("change", ["routes", "endpoints"])
+    async def test_forwarded_stream_is_complete(self, fleet: Fleet, path, change) -> None:
+        testbed = fleet.testbed
+        for engine in testbed.engines:
+            engine.event_interval_seconds = 0.2
+        connection = await testbed.send(b"POST", path)
+        await connection.read_head()
+        if change == "routes":
+            testbed.store.put("config", "main", configuration(2, routes=[], services=[]))
+            await testbed.wait(
+                lambda: all(d._relay_directory.config.version == 2 for d in fleet.daemons),
+                "configuration",
+            )
+        else:
+            for engine in testbed.engines:
+                engine.remove()
+            await testbed.wait(
+                lambda: not any(
+                    d._relay_directory.endpoints_in_pool("model") for d in fleet.daemons
+                ),
+                "removal of the entries",
+            )
+        assert await connection.read_body() == EVENT_STREAM
+        assert len(fleet.received(b"a1")) == 1
+
+
 class TestPeerThatFailsItself:
     """An error of the peer was taken for the endpoint's response."""
 
