Serve connections that wait in the accept queue when a daemon stops listening

A caller whose connection the system had established, but the loop had not accepted, was reset when the listener closed, with its request unread: 2.5 s after SIGTERM, while the balancer may still direct connections here. On half a core the queue is not empty whenever the loop is busy.

The listener now accepts what waits before it closes; these connections count as in flight until what has arrived on them is read, and are then served or refused like any other. An abort ends them too.

--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_server.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_server.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import logging
+import socket
 import sys
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
@@ -473,11 +474,16 @@
         self.address = listen
         self._server: asyncio.Server | None = None
         self._task_by_connection: dict[_ServerConnection, asyncio.Task[None]] = {}
+        self._accepting_tasks: set[asyncio.Task[None]] = set()
 
     @property
     def in_flight(self) -> int:
-        """Return the number of unanswered requests that have arrived, in part or whole."""
-        return sum(not connection.idle for connection in self._task_by_connection)
+        """Return the number of unanswered requests that have arrived, in part or whole.
+
+        Connections that are being accepted count, since a request may have arrived on them.
+        """
+        unanswered = sum(not connection.idle for connection in self._task_by_connection)
+        return unanswered + len(self._accepting_tasks)
 
     @property
     def open_connections(self) -> int:
@@ -503,10 +509,43 @@
     def stop_accepting(self) -> None:
         """Close the listener and the idle connections; requests that have arrived continue."""
         if self._server is not None:
-            self._server.close()
+            self._close_listener(self._server)
+            self._server = None
         for connection in list(self._task_by_connection):
             connection.close_if_idle()
 
+    def _close_listener(self, server: asyncio.Server) -> None:
+        """Stop listening; accept the connections that the system has established before."""
+        listeners = [listener.dup() for listener in server.sockets]
+        server.close()
+        for listener in listeners:
+            with listener:
+                while (connection := _accept_waiting(listener)) is not None:
+                    self._start_accepted(connection)
+
+    def _start_accepted(self, connection: socket.socket) -> None:
+        def finish(finished: asyncio.Task[None]) -> None:
+            self._accepting_tasks.discard(finished)
+            if finished.cancelled():
+                connection.close()
+
+        task = asyncio.create_task(self._serve_accepted(connection))
+        self._accepting_tasks.add(task)
+        task.add_done_callback(finish)
+
+    async def _serve_accepted(self, connection: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            await loop.connect_accepted_socket(lambda: ByteStream(self._accept), connection)
+        except OSError as error:
+            connection.close()
+            fields = {"reason": str(error)}
+            logger.info("accepted connection broke at once", extra={"fields": fields})
+            return
+        # Only what has been read counts as a request in flight.
+        for _ in range(LOOP_TURNS_TO_RECEIVE):
+            await asyncio.sleep(0)
+
     def refuse_partial_requests(self) -> None:
         """Answer each request that has not arrived completely with 503."""
         for connection in list(self._task_by_connection):
@@ -514,6 +553,8 @@
 
     def abort(self, reason: str = "the server was stopped") -> None:
         """Reset all connections; ``reason`` is logged for each response that this cuts off."""
+        for task in self._accepting_tasks:
+            task.cancel()
         for connection in list(self._task_by_connection):
             connection.abort(reason)
 
@@ -530,3 +571,20 @@
         elif task.exception() is not None:
             logger.error("unhandled error on a connection from a caller", exc_info=task.exception())
             connection.abort("unhandled error")
+
+
+def _accept_waiting(listener: socket.socket) -> socket.socket | None:
+    """Return a connection that waits to be accepted, None if there is none."""
+    while True:
+        try:
+            connection, _ = listener.accept()
+        except ConnectionAbortedError:
+            continue  # its caller has gone
+        except BlockingIOError:
+            return None
+        except OSError as error:
+            fields = {"reason": str(error)}
+            logger.warning("connections not accepted before the close", extra={"fields": fields})
+            return None
+        connection.setblocking(False)
+        return connection
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -767,6 +767,42 @@
         async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
             assert (await reader.read()).endswith(b"hi")
 
+    async def test_request_in_the_accept_queue_is_answered(self, server, handler) -> None:
+        """The system had established its connection; closing the listener reset it."""
+        http_server, address = server
+        host, _, port = address.rpartition(":")
+        connections = [socket.create_connection((host, int(port))) for _ in range(3)]
+        for connection in connections:
+            connection.sendall(self.REQUEST)
+        assert not http_server.open_connections
+        http_server.draining = True
+        http_server.stop_accepting()
+        async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+            while http_server.in_flight:
+                await asyncio.sleep(0)
+        assert len(handler.requests) == len(connections)
+        for connection in connections:
+            reader, writer = await asyncio.open_connection(sock=connection)
+            assert (await read_response(reader)).endswith(b"hi")
+            writer.close()
+        with pytest.raises(ConnectionRefusedError):
+            socket.create_connection((host, int(port)))
+
+    async def test_abort_ends_connections_from_the_accept_queue(self, server, handler) -> None:
+        http_server, address = server
+        host, _, port = address.rpartition(":")
+        connection = socket.create_connection((host, int(port)))
+        connection.sendall(self.REQUEST)
+        http_server.stop_accepting()
+        http_server.abort()
+        async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+            while http_server.in_flight or http_server.open_connections:
+                await asyncio.sleep(0)
+        assert not handler.requests
+        with pytest.raises(ConnectionResetError):
+            connection.recv(1)
+        connection.close()
+
     async def test_idle_connection_is_closed(self, server) -> None:
         http_server, address = server
         reader, writer, _ = await self.connect(http_server, address)
