Log the end of a response that its caller does not read

A caller that doesn't read a complete response before a close is cut off after the idle time-out, and the table of requests-without-response.md says that this is logged; it was listed as not tested. The test found no line: after the abort the connection still counts as open for a loop turn and has no unsent bytes any more, so the response was taken for sent. The method now returns after the abort.

With a test for another row that was not tested: while file descriptors are exhausted a connection waits in the accept queue and is served afterwards. It passed before.

--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_server.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_server.py
@@ -420,7 +420,7 @@
                     break
                 if loop.time() - stalled_since >= self._limits.idle_timeout_seconds:
                     self.abort("the caller did not read the response in time")
-                    break
+                    return
                 deadline = loop.time() + DISCARD_TIMEOUT_SECONDS
                 continue
             except ConnectionError:
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -7,7 +7,9 @@
 import asyncio
 import errno
 import logging
+import os
 import random
+import resource
 import socket
 import struct
 import time
@@ -541,6 +543,18 @@
                 await asyncio.sleep(0.01)
         assert not caplog.records
 
+    async def test_complete_response_that_its_caller_never_reads(
+        self, server, handler, caplog
+    ) -> None:
+        """The connection was to be closed, and nothing could be sent for the idle time-out."""
+        server.draining = True
+        connection = await self.start_request(server, handler, b"/fill")
+        message, fields = await self.read_end(server, caplog)
+        assert (message, fields["ended_by"]) == ("response aborted", "daemon")
+        assert fields["reason"] == "the caller did not read the response in time"
+        assert fields["response"] == "written"
+        connection.close()
+
     async def test_response_that_its_handler_breaks_off(self, server, handler, caplog) -> None:
         connection = await self.start_request(server, handler, b"/cut")
         message, fields = await self.read_end(server, caplog)
@@ -681,6 +695,35 @@
                 await asyncio.sleep(0.01)
 
 
+class TestAcceptedConnections:
+    """A connection that the system has established is served or ends; it never stays silent."""
+
+    REQUEST = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+
+    async def test_connection_waits_while_file_descriptors_are_exhausted(
+        self, server, caplog
+    ) -> None:
+        http_server, address = server
+        host, _, port = address.rpartition(":")
+        connection = socket.socket()
+        next_descriptor = os.dup(connection.fileno())
+        os.close(next_descriptor)
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (next_descriptor, hard))
+        try:
+            connection.connect((host, int(port)))
+            connection.sendall(self.REQUEST)
+            async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+                while not any("accept" in record.getMessage() for record in caplog.records):
+                    await asyncio.sleep(0.01)
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+        assert not http_server.open_connections
+        reader, writer = await asyncio.open_connection(sock=connection)
+        assert (await read_response(reader)).startswith(b"HTTP/1.1 200")
+        writer.close()
+
+
 class TestPlannedStop:
     """Under load, requests arrive while the server stops accepting connections."""
 
