Serve a connection whose socket options cannot be set

An error of setsockopt in connection_made left the connection open without a task: its caller got neither an answer nor a close, and no line was logged. The connection is now served without the options, and a line says so.

On the code before, the new test got no response within 3 s.

--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_byte_stream.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_byte_stream.py
@@ -1,6 +1,7 @@
 """A buffered TCP connection that reports a disconnect even while no task reads from it."""
 
 import asyncio
+import logging
 import socket
 import struct
 from collections.abc import Callable
@@ -12,6 +13,8 @@
 NO_LINGER = struct.pack("ii", 1, 0)  # close() sends a reset
 MAX_UNREAD_BYTES = 256 * 1024  # bounds the memory per client on a VM with 300 MB
 
+logger = logging.getLogger(__name__)
+
 
 class StreamEnd(Enum):
     """What ended a connection, as far as this process can tell."""
@@ -55,7 +58,10 @@
         """Set the transport and the options of a new connection."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        set_options(transport.get_extra_info("socket"))
+        try:
+            set_options(transport.get_extra_info("socket"))
+        except OSError as error:  # the connection works without them, or is already reset
+            logger.warning("socket options not set", extra={"fields": {"reason": str(error)}})
         if self._on_connect is not None:
             self._on_connect(self)
 
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -26,6 +26,7 @@
     Http1Server,
     Responder,
     ServerRequest,
+    _byte_stream,
 )
 
 LIMITS = CallerLimits(
@@ -723,6 +724,20 @@
         assert (await read_response(reader)).startswith(b"HTTP/1.1 200")
         writer.close()
 
+    async def test_connection_whose_options_cannot_be_set_is_served(
+        self, server, caplog, monkeypatch
+    ) -> None:
+        """It stayed open without a task that reads from it."""
+
+        def fail(connection: socket.socket) -> None:
+            raise OSError(errno.EINVAL, "injected fault")
+
+        monkeypatch.setattr(_byte_stream, "set_options", fail)
+        _, address = server
+        request = self.REQUEST.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")
+        assert (await send_bytes(address, request)).startswith(b"HTTP/1.1 200")
+        assert "socket options not set" in caplog.messages
+
 
 class TestPlannedStop:
     """Under load, requests arrive while the server stops accepting connections."""
