Test that a reload of the settings leaves requests alone

It passed on the code as it was: a stream, a running unsafe request and the next request on its connection are served beside a reload that changes the grace period.

--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -10,7 +10,7 @@
 from collections.abc import AsyncIterator, Awaitable
 
 import pytest
-from ragwortpaddle_standins.relay_platform import caller_headers, configuration
+from ragwortpaddle_standins.relay_platform import EVENT_STREAM, caller_headers, configuration
 from ragwortpaddled.errors import ReplyLostError
 from ragwortpaddled.transport import Http1Connection, ResponseHead
 from relay_fleet import RelayTestBed
@@ -146,6 +146,27 @@
         assert "response aborted" not in [r.getMessage() for r in caplog.records]
 
 
+class TestReload:
+    """Settings that change beside requests, with SIGHUP or without."""
+
+    async def test_requests_in_flight_are_served(self, testbed) -> None:
+        for engine in testbed.engines:
+            engine.event_interval_seconds = 0.1
+        for desk in testbed.desks:
+            desk.fault = "pause"
+        stream = await send(testbed, b"POST", b"/once/1", b"a1")
+        await stream.read_head()
+        running = await send(testbed, b"POST", b"/book/1", b"a2")
+        await testbed.wait(lambda: any(d.received_requests for d in testbed.desks), "execution")
+        path = testbed.daemon._settings_path
+        path.write_text(path.read_text().replace("grace_seconds = 4", "grace_seconds = 3"))
+        testbed.daemon._reload_settings()
+        assert testbed.daemon._settings.end.grace_seconds == 3.0
+        assert await stream.read_body() == EVENT_STREAM
+        assert (await read(running))[0].status == 200
+        assert (await send_again(running, b"GET", b"/look/1", b"a3"))[0].status == 200
+
+
 class TestRequestsInFlight:
     """At the end of the grace period each request gets a final answer that is true."""
 
