--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -7,7 +7,9 @@
 import asyncio
 import errno
 import logging
+import os
 import random
+import resource
 import socket
 import struct
 import time
@@ -24,6 +26,7 @@
     Http1Server,
     Responder,
     ServerRequest,
+    _byte_stream,
 )
 
 LIMITS = CallerLimits(
@@ -541,6 +544,18 @@
                 await asyncio.sleep(0.01)
         assert not caplog.records
 
+    async def test_complete_response_that_its_caller_never_reads(
+        self, server, handler, caplog
+    ) -> None:
+        """The connection was to be closed, and nothing could be sent for the idle time-out."""
+        server.draining = True
+        connection = await self.start_request(server, handler, b"/fill")
+        message, fields = await self.read_end(server, caplog)
+        assert (message, fields["ended_by"]) == ("response aborted", "daemon")
+        assert fields["reason"] == "the caller did not read the response in time"
+        assert fields["response"] == "written"
+        connection.close()
+
     async def test_response_that_its_handler_breaks_off(self, server, handler, caplog) -> None:
         connection = await self.start_request(server, handler, b"/cut")
         message, fields = await self.read_end(server, caplog)
@@ -681,6 +696,49 @@
                 await asyncio.sleep(0.01)
 
 
+class TestAcceptedConnections:
+    """A connection that the system has established is served or ends; it never stays silent."""
+
+    REQUEST = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+
+    async def test_connection_waits_while_file_descriptors_are_exhausted(
+        self, server, caplog
+    ) -> None:
+        http_server, address = server
+        host, _, port = address.rpartition(":")
+        connection = socket.socket()
+        next_descriptor = os.dup(connection.fileno())
+        os.close(next_descriptor)
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (next_descriptor, hard))
+        try:
+            connection.connect((host, int(port)))
+            connection.sendall(self.REQUEST)
+            async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+                while not any("accept" in record.getMessage() for record in caplog.records):
+                    await asyncio.sleep(0.01)
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+        assert not http_server.open_connections
+        reader, writer = await asyncio.open_connection(sock=connection)
+        assert (await read_response(reader)).startswith(b"HTTP/1.1 200")
+        writer.close()
+
+    async def test_connection_whose_options_cannot_be_set_is_served(
+        self, server, caplog, monkeypatch
+    ) -> None:
+        """It stayed open without a task that reads from it."""
+
+        def fail(connection: socket.socket) -> None:
+            raise OSError(errno.EINVAL, "injected fault")
+
+        monkeypatch.setattr(_byte_stream, "set_options", fail)
+        _, address = server
+        request = self.REQUEST.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")
+        assert (await send_bytes(address, request)).startswith(b"HTTP/1.1 200")
+        assert "socket options not set" in caplog.messages
+
+
 class TestPlannedStop:
     """Under load, requests arrive while the server stops accepting connections."""
 
@@ -767,6 +825,42 @@
         async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
             assert (await reader.read()).endswith(b"hi")
 
+    async def test_request_in_the_accept_queue_is_answered(self, server, handler) -> None:
+        """The system had established its connection; closing the listener reset it."""
+        http_server, address = server
+        host, _, port = address.rpartition(":")
+        connections = [socket.create_connection((host, int(port))) for _ in range(3)]
+        for connection in connections:
+            connection.sendall(self.REQUEST)
+        assert not http_server.open_connections
+        http_server.draining = True
+        http_server.stop_accepting()
+        async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+            while http_server.in_flight:
+                await asyncio.sleep(0)
+        assert len(handler.requests) == len(connections)
+        for connection in connections:
+            reader, writer = await asyncio.open_connection(sock=connection)
+            assert (await read_response(reader)).endswith(b"hi")
+            writer.close()
+        with pytest.raises(ConnectionRefusedError):
+            socket.create_connection((host, int(port)))
+
+    async def test_abort_ends_connections_from_the_accept_queue(self, server, handler) -> None:
+        http_server, address = server
+        host, _, port = address.rpartition(":")
+        connection = socket.create_connection((host, int(port)))
+        connection.sendall(self.REQUEST)
+        http_server.stop_accepting()
+        http_server.abort()
+        async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+            while http_server.in_flight or http_server.open_connections:
+                await asyncio.sleep(0)
+        assert not handler.requests
+        with pytest.raises(ConnectionResetError):
+            connection.recv(1)
+        connection.close()
+
     async def test_idle_connection_is_closed(self, server) -> None:
         http_server, address = server
         reader, writer, _ = await self.connect(http_server, address)
