Don't count pauses of the process as silence of others

Callers saw: attempts given up and sent again though their endpoints had answered. On VMs of half a core a frozen or starved process, or one that applies a configuration, runs its timers before it reads the bytes that arrived meanwhile, so the connect time-out of 0.4 s, the report's 0.3 s, the exchange with peers (0.5 s), the silence of all streams (0.25 s) and the time limits of attempts fired for endpoints, links and peers that were sound.

Now there is a clock of the event loop that doesn't count pauses (it ticks every 50 ms, a tick that is over 20 ms late shows a pause), and two time-outs on it, running_timeout and wait_running. Deadlines of requests, idle and header limits of callers and the lease stay on the wall clock.

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_reach_monitor.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_reach_monitor.py
@@ -22,7 +22,7 @@
     MIN_UNREACHABLE_SECONDS,
     EndpointReach,
 )
-from ragwortpaddled.transport import Http1Pool
+from ragwortpaddled.transport import Http1Pool, loop_clock, wait_running
 
 # New connections are billed, so a few endpoints are tried first. A sound one accepts within
 # milliseconds; if none does, more are tried, since many endpoints may have failed at once.
@@ -69,7 +69,7 @@
         self._check_task: asyncio.Task[None] | None = None
         self._verify_task_by_id: dict[str, asyncio.Task[None]] = {}
         self._open_streams_by_address: Counter[str] = Counter()
-        self._received_at = 0.0  # on the monotonic clock
+        self._received_at = 0.0  # on the clock of the event loop, which does not count pauses
         self._checked_at = float("-inf")  # when the last check ended
         self._peer_probe_count = 0
         self._links_lost: asyncio.Future[None] | None = None
@@ -92,7 +92,7 @@
 
     def record_received(self) -> None:
         """Record that a part of a stream has arrived."""
-        self._received_at = time.monotonic()
+        self._received_at = loop_clock().time()
 
     def record_stream_closed(self, address: str) -> None:
         """Record the end of a stream."""
@@ -182,10 +182,9 @@
                 await self._run_check()
 
     def _all_streams_silent(self) -> bool:
-        now = time.monotonic()
         return (
             len(self._open_streams_by_address) >= MIN_UNREACHABLE_ENDPOINTS
-            and now - self._received_at > MAX_SILENCE_SECONDS
+            and loop_clock().time() - self._received_at > MAX_SILENCE_SECONDS
         )
 
     async def _run_check(self, unreachable_address: str = "") -> None:
@@ -273,7 +272,7 @@
         try:
             for first, end, timeout in (
                 (0, FIRST_COMPARED_ENDPOINTS, FIRST_ATTEMPTS_SECONDS),
-                (FIRST_COMPARED_ENDPOINTS, len(addresses), None),
+                (FIRST_COMPARED_ENDPOINTS, len(addresses), float("inf")),
             ):
                 for address in addresses[first:end]:
                     task_by_address[address] = asyncio.create_task(self._connects(address))
@@ -319,12 +318,12 @@
             logger.info("links to the endpoints are back", extra={"fields": fields})
 
 
-async def _any_connects(pending: set[asyncio.Task[bool]], timeout: float | None) -> bool:
+async def _any_connects(pending: set[asyncio.Task[bool]], timeout: float) -> bool:
     """Wait until a task returns true, all end or the time is over; remove those that ended."""
-    deadline = float("inf") if timeout is None else time.monotonic() + timeout
+    ends_at = loop_clock().time() + timeout
     while pending:
-        left = None if timeout is None else max(0.0, deadline - time.monotonic())
-        done, _ = await asyncio.wait(pending, timeout=left, return_when=asyncio.FIRST_COMPLETED)
+        await wait_running(pending, max(0.0, ends_at - loop_clock().time()))
+        done = {task for task in pending if task.done()}
         pending -= done
         if any(task.result() for task in done):
             return True
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relayed_request.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relayed_request.py
@@ -32,7 +32,7 @@
 )
 from ragwortpaddled.protocol import PathRoute, RelayPool, RelayTeam, RequestKind, RequestMetadata
 from ragwortpaddled.state import EventSplitter, PoolRetryBudget, fingerprint
-from ragwortpaddled.transport import Responder, ServerRequest
+from ragwortpaddled.transport import Responder, ServerRequest, loop_clock, wait_running
 
 FIRST_EVENT_TIMEOUT_SECONDS = 1.5
 EVENT_TIMEOUT_SECONDS = 0.7  # callers leave after 2 s without an event; a retry prefills first
@@ -340,15 +340,15 @@
 
     async def _ends_in_time(self, task: asyncio.Task[T], seconds: float, target: Target) -> bool:
         """Return whether a task ends in time; wait less if it uses links that are being lost."""
-        started_at = time.monotonic()
+        started_at = loop_clock().time()
         waited: list[asyncio.Future[Any]] = [task]
         if not (self.reach_monitor.cut or target.peer):
             waited.append(self.reach_monitor.links_lost)
-        await asyncio.wait(waited, timeout=seconds, return_when=asyncio.FIRST_COMPLETED)
-        elapsed_seconds = time.monotonic() - started_at
+        await wait_running(waited, seconds)
+        elapsed_seconds = loop_clock().time() - started_at
         if not task.done() and elapsed_seconds < min(seconds, LOST_LINK_SILENCE_SECONDS):
             # An existing connection may outlast the loss of the links.
-            await asyncio.wait([task], timeout=LOST_LINK_SILENCE_SECONDS - elapsed_seconds)
+            await wait_running([task], LOST_LINK_SILENCE_SECONDS - elapsed_seconds)
         return task.done()
 
     def _uses_lost_links(self, target: Target) -> bool:
--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/__init__.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/__init__.py
@@ -29,6 +29,12 @@
     without_hop_by_hop_headers,
 )
 from ragwortpaddled.transport._keyring import KeyRing
+from ragwortpaddled.transport._loop_clock import (
+    LoopClock,
+    loop_clock,
+    running_timeout,
+    wait_running,
+)
 from ragwortpaddled.transport._peer_socket import PeerClient, PeerHandler, PeerServer
 
 if TYPE_CHECKING:
@@ -47,6 +53,7 @@
     "HttpReply",
     "HttpServer",
     "KeyRing",
+    "LoopClock",
     "PeerClient",
     "PeerHandler",
     "PeerServer",
@@ -55,7 +62,10 @@
     "ResponseHead",
     "ServerRequest",
     "first_value",
+    "loop_clock",
     "parse_address",
+    "running_timeout",
+    "wait_running",
     "without_hop_by_hop_headers",
 ]
 
--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_client.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_client.py
@@ -1,6 +1,5 @@
 """HTTP/1.1 over h11: one exchange at a time per connection, no automatic retries."""
 
-import asyncio
 import time
 from collections import defaultdict
 from dataclasses import dataclass
@@ -16,6 +15,7 @@
     HttpReply,
     first_value,
 )
+from ragwortpaddled.transport._loop_clock import loop_clock, running_timeout
 
 # Endpoints are about 1 ms away. TCP retransmits a lost SYN only after 1 s; trying another endpoint
 # is faster than waiting for that.
@@ -160,7 +160,7 @@
             connection.close()
         self.opened_count += 1
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+            async with running_timeout(CONNECT_TIMEOUT_SECONDS):
                 return Http1Connection(address, await connect(address))
         except OSError as error:  # includes TimeoutError
             raise NotSentError(f"{address}: {error!r}") from error
@@ -228,11 +228,11 @@
             sent_headers.append((b"Content-Type", content_type))
         if body or method not in ("GET", "DELETE"):
             sent_headers.append((b"Content-Length", str(len(body)).encode()))
-        deadline = asyncio.get_running_loop().time() + timeout_seconds
+        ends_at = loop_clock().time() + timeout_seconds
         connection = await self._pool.acquire(parts.netloc, fresh=fresh_connection)
         complete = False
         try:
-            async with asyncio.timeout_at(deadline):
+            async with running_timeout(max(0.0, ends_at - loop_clock().time())):
                 await connection.send(method.encode(), target.encode(), sent_headers, body)
                 head = await connection.read_head()
                 reply = HttpReply(head.status, tuple(head.headers), await connection.read_body())
--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_peer_socket.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_peer_socket.py
@@ -11,6 +11,7 @@
 
 from ragwortpaddled.errors import NotSentError, PeerRefusedError, ReplyLostError
 from ragwortpaddled.transport._keyring import KeyRing
+from ragwortpaddled.transport._loop_clock import running_timeout
 
 MAX_CONCURRENT_REQUESTS = 16
 NONCE_BYTES = 12
@@ -134,12 +135,12 @@
         self, context: pynng.Context, message: bytes, timeout_seconds: float
     ) -> bytes:
         try:
-            async with asyncio.timeout(timeout_seconds):
+            async with running_timeout(timeout_seconds):
                 await context.asend(message)
         except (TimeoutError, pynng.NNGException) as error:
             raise NotSentError(f"{self.address}: {error!r}") from error
         try:
-            async with asyncio.timeout(timeout_seconds):
+            async with running_timeout(timeout_seconds):
                 return await context.arecv()
         except (TimeoutError, pynng.NNGException) as error:
             raise ReplyLostError(f"{self.address}: {error!r}") from error
