Serve queued requests that have begun before new ones

A stream that was reset by its engine queued for its next attempt like a new request, by priority and behind those that came before, and was refused at once when the expected wait was too long: its caller got a cut answer while new requests got the room.

DispatchRequest says whether a request has begun. Such a request comes before all new ones and isn't refused for the expected wait. New requests wait behind it only while no endpoint at all has room for it and until holds_queue_until, so one that excludes the endpoints with room, or never finds any, doesn't keep the others from them. As a last resort such a request may use endpoints that it excludes softly, and suspects.

Nothing sets the new fields yet; new requests are treated as before.

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_dispatcher.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_dispatcher.py
@@ -12,7 +12,7 @@
 import time
 from collections import defaultdict, deque
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from ragwortpaddled.coordination._relay_directory import RelayDirectory
@@ -33,6 +33,7 @@
 DISPATCH_INTERVAL_SECONDS = 0.05  # estimates of other daemons' load expire without an event here
 REMOTE_PENALTY_SLOTS = 0.2  # caller traffic between data centres is billed
 GRANT_WINDOW_SECONDS = 2.0  # window of the grant rate, about one generation
+MAX_PASSED_TRIES = 2  # a search for a path takes about a millisecond
 NO_ENDPOINT_RETRY_SECONDS = 1.0  # loading the layers of one engine takes a second or two
 # Bounds of Retry-After as shares of the time until the caller's deadline. Callers retry once or
 # twice and wait for a third of that time at most, so a retry that comes too early is wasted.
@@ -44,7 +45,15 @@
 
 @dataclass(frozen=True, slots=True)
 class DispatchRequest:
-    """What a request requires from its pool; times are on the monotonic clock, in seconds."""
+    """What a request requires from its pool; times are on the monotonic clock, in seconds.
+
+    ``begun``: an endpoint may have run a part of it, so it is served before new requests and not
+    refused for the expected wait. While no endpoint has room for it, new requests wait behind it
+    until ``holds_queue_until``.
+
+    ``last_resort_excluded_ids``: if no other endpoint has room, all but these may be used, suspects
+    too; None: no last resort.
+    """
 
     pool: RelayPool
     demand: RequestSize
@@ -52,6 +61,9 @@
     queue_deadline: float
     deadline: float
     excluded_ids: frozenset[str] = frozenset()
+    begun: bool = False
+    holds_queue_until: float = 0.0
+    last_resort_excluded_ids: frozenset[str] | None = None
 
 
 @dataclass(slots=True)
@@ -106,10 +118,12 @@
 
 @dataclass(order=True, slots=True)
 class _Waiter:
+    is_new: bool
     priority: int
     sequence_number: int
     request: DispatchRequest = field(compare=False)
     target: asyncio.Future[Target] = field(compare=False)
+    holds_queue: bool = field(default=True, compare=False)
 
 
 class Dispatcher:
@@ -147,18 +161,20 @@
         """
         started_at = time.monotonic()
         waiters = self._waiters_by_pool[request.pool.name]
-        immediate_target = None if waiters else self._try_acquire(request)
+        immediate_target = None if self._waiters_ahead(request) else self._try_acquire(request)
         if immediate_target is not None:
             return immediate_target
         wait_seconds = self._estimate_wait_seconds(request)
-        if started_at + wait_seconds > request.queue_deadline:
+        if not request.begun and started_at + wait_seconds > request.queue_deadline:
             raise self._refusal(request, wait_seconds)
         waiter = _Waiter(
+            not request.begun,
             request.priority,
             next(self._sequence_numbers),
             request,
             asyncio.get_running_loop().create_future(),
         )
+        waiter.holds_queue = self._holds_queue(request)
         heapq.heappush(waiters, waiter)
         try:
             # Not asyncio.timeout: it could end the wait in the moment in which capacity is granted.
@@ -189,7 +205,7 @@
 
     def has_other_path(self, request: DispatchRequest, target: Target) -> bool:
         """Return whether a path other than the current one has capacity for the request."""
-        if request.pool.model is None or self.waiting_count(request.pool.name):
+        if request.pool.model is None or self._waiters_ahead(request):
             return False
         hops = self._choose_path(request).hops
         return bool(hops) and hops != target.path
@@ -213,11 +229,55 @@
     def dispatch_waiting(self) -> None:
         """Grant free capacity to queued requests, the most urgent first."""
         for waiters in self._waiters_by_pool.values():
-            while waiters:
-                target = self._try_acquire(waiters[0].request)
-                if target is None:
+            self._dispatch(waiters)
+
+    def _dispatch(self, waiters: list[_Waiter]) -> None:
+        """Grant free capacity to the requests of one queue.
+
+        Requests that have begun and don't hold the queue are tried in turn, a few at a time.
+        """
+        passed: list[_Waiter] = []
+        while waiters:
+            waiter = waiters[0]
+            if not waiter.request.begun or len(passed) < MAX_PASSED_TRIES:
+                target = self._try_acquire(waiter.request)
+                if target is not None:
+                    heapq.heappop(waiters).target.set_result(target)
+                    continue
+                waiter.holds_queue = self._holds_queue(waiter.request)
+                if waiter.holds_queue:
                     break
-                heapq.heappop(waiters).target.set_result(target)
+                heapq.heappop(waiters)
+                waiter.sequence_number = next(self._sequence_numbers)
+            else:
+                heapq.heappop(waiters)
+            passed.append(waiter)
+        for waiter in passed:
+            heapq.heappush(waiters, waiter)
+
+    def _waiters_ahead(self, request: DispatchRequest) -> list[_Waiter]:
+        """Return the queued requests that must be served before a request that arrives now."""
+        return [
+            waiter
+            for waiter in self._waiters_by_pool[request.pool.name]
+            if waiter.holds_queue and not (request.begun and waiter.is_new)
+        ]
+
+    def _holds_queue(self, request: DispatchRequest) -> bool:
+        """Return whether requests behind one for which there is no room must wait, too.
+
+        One that has begun and excludes the endpoints with room would keep them idle.
+        """
+        if not request.begun:
+            return True
+        if time.monotonic() >= request.holds_queue_until:
+            return False
+        return not self._has_room(replace(request, excluded_ids=frozenset()))
+
+    def _has_room(self, request: DispatchRequest) -> bool:
+        if request.pool.model is None:
+            return self._try_acquire_endpoint(request) is not None
+        return bool(self._choose_path(request).hops)
 
     def _try_acquire(self, request: DispatchRequest) -> Target | None:
         choose = (
@@ -270,25 +330,43 @@
         confirmed = [entry for entry in entries if not self._relay_directory.may_have_left(entry)]
         exhausted_ids = self._relay_directory.request_limits.exhausted_ids()
 
-        def choose(candidates: list[EndpointEntry]) -> PathChoice:
+        def choose(
+            candidates: list[EndpointEntry],
+            excluded_ids: frozenset[str] = request.excluded_ids,
+            *,
+            include_suspects: bool = False,
+        ) -> PathChoice:
             return choose_path(
                 model,
                 candidates,
                 self._relay_directory.loads,
                 self._relay_directory.links,
                 request.demand,
-                excluded_ids=request.excluded_ids,
+                excluded_ids=excluded_ids,
                 excluded_first_ids=exhausted_ids,
                 unreported_by_id=unreported_by_id,
+                include_suspects=include_suspects,
             )
 
         choice = choose(confirmed)
-        return choice if choice.hops or len(confirmed) == len(entries) else choose(entries)
+        if not choice.hops and len(confirmed) < len(entries):
+            choice = choose(entries)
+        if not choice.hops and request.last_resort_excluded_ids is not None:
+            choice = choose(entries, request.last_resort_excluded_ids, include_suspects=True)
+        return choice
 
     def _try_acquire_endpoint(self, request: DispatchRequest) -> Target | None:
+        target = self._choose_endpoint(request, request.excluded_ids)
+        if target is None and request.last_resort_excluded_ids is not None:
+            target = self._choose_endpoint(request, request.last_resort_excluded_ids)
+        return target
+
+    def _choose_endpoint(
+        self, request: DispatchRequest, request_excluded_ids: frozenset[str]
+    ) -> Target | None:
         now = time.monotonic()
         loads = self._relay_directory.loads
-        excluded_ids = request.excluded_ids | self._relay_directory.request_limits.exhausted_ids()
+        excluded_ids = request_excluded_ids | self._relay_directory.request_limits.exhausted_ids()
         usable = [
             e
             for e in self._relay_directory.endpoints_in_pool(request.pool.name)
@@ -314,8 +392,11 @@
         grant_times = self._grant_times_by_pool[request.pool.name]
         while grant_times and grant_times[0] < now - GRANT_WINDOW_SECONDS:
             grant_times.popleft()
-        waiters = self._waiters_by_pool[request.pool.name]
-        ahead = sum(1 for waiter in waiters if waiter.priority <= request.priority)
+        ahead = sum(
+            1
+            for waiter in self._waiters_ahead(request)
+            if not waiter.is_new or waiter.priority <= request.priority
+        )
         return ahead * GRANT_WINDOW_SECONDS / max(1, len(grant_times))
 
     def _refusal(self, request: DispatchRequest, wait_seconds: float) -> RefusedError:
--- a/packages/ragwortpaddled/src/ragwortpaddled/state/_layer_paths.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/_layer_paths.py
@@ -65,16 +65,18 @@
     excluded_ids: frozenset[str] = frozenset(),
     excluded_first_ids: frozenset[str] = frozenset(),
     unreported_by_id: Mapping[str, float] = NO_UNREPORTED_LOAD,
+    include_suspects: bool = False,
 ) -> PathChoice:
     """Return the cheapest path over usable engines with memory and links with capacity.
 
     The engines in ``excluded_first_ids`` can only continue a path: they get no request themselves.
+    With ``include_suspects``, engines that recently failed or refused a request count as usable.
     ``unreported_by_id`` adds an estimate of the requests that other daemons have not yet reported.
     """
     now = time.monotonic()
     candidates = []
     held_tokens = capacity = 0.0
-    for endpoint in _usable(endpoints, loads, excluded_ids, now):
+    for endpoint in _usable(endpoints, loads, excluded_ids, now, include_suspects):
         load = loads.get(endpoint.id)
         memory = _memory(model, endpoint, load, now, unreported_by_id.get(endpoint.id, 0.0))
         held_tokens += min(memory.held_tokens, memory.capacity)
@@ -113,6 +115,7 @@
     loads: EndpointLoads,
     excluded_ids: frozenset[str],
     now: float,
+    include_suspects: bool = False,
 ) -> list[EndpointEntry]:
     return [
         e
@@ -120,7 +123,7 @@
         if e.layers is not None
         and not e.leaving
         and e.id not in excluded_ids
-        and not loads.get(e.id).suspect(now)
+        and (include_suspects or not loads.get(e.id).suspect(now))
     ]
 
 
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -36,16 +36,24 @@
         return list(self.entry_by_id.values())
 
 
-def dispatch_request(priority: int = 1, max_queue_seconds: float = 1.0) -> DispatchRequest:
+def dispatch_request(
+    priority: int = 1, max_queue_seconds: float = 1.0, **fields: object
+) -> DispatchRequest:
     return DispatchRequest(
         POOL,
         RequestSize(0, 0),
         priority,
         time.monotonic() + max_queue_seconds,
         time.monotonic() + 20,
+        **fields,
     )
 
 
+def begun_request(hold_seconds: float = 1.0, **fields: object) -> DispatchRequest:
+    holds_queue_until = time.monotonic() + hold_seconds
+    return dispatch_request(9, begun=True, holds_queue_until=holds_queue_until, **fields)
+
+
 @pytest.fixture
 def dispatcher() -> Dispatcher:
     return Dispatcher(OneEndpointDirectory(), "a", random.Random(1))
@@ -101,6 +109,105 @@
         assert dispatcher._relay_directory.loads.get("desk-0").own_requests == SLOTS - 1
 
 
+class TestRequestsThatHaveBegun:
+    """They are retried attempts: losing to new requests would end a response within it."""
+
+    async def test_are_served_before_more_urgent_new_requests(self, dispatcher: Dispatcher) -> None:
+        held = await fill(dispatcher)
+        new = asyncio.create_task(dispatcher.acquire(dispatch_request(0)))
+        await asyncio.sleep(0)
+        begun = asyncio.create_task(dispatcher.acquire(begun_request()))
+        await asyncio.sleep(0)
+        dispatcher.release(held[0])
+        await asyncio.wait([new, begun], return_when=asyncio.FIRST_COMPLETED)
+        assert begun.done() and not new.done()
+        dispatcher.release(held[1])
+        await new
+
+    async def test_are_queued_whatever_the_expected_wait(self, dispatcher: Dispatcher) -> None:
+        """One queued request and no recent grant make the expected wait 2 s."""
+        held = await fill(dispatcher)
+        dispatcher._grant_times_by_pool[POOL.name].clear()
+        waiting = [
+            asyncio.create_task(dispatcher.acquire(begun_request(max_queue_seconds=0.5)))
+            for _ in range(SLOTS)
+        ]
+        await asyncio.sleep(0)
+        for target in held:
+            dispatcher.release(target)
+        await asyncio.gather(*waiting)
+
+    async def test_do_not_hold_up_new_requests_where_they_exclude_the_endpoint_with_room(
+        self, dispatcher: Dispatcher
+    ) -> None:
+        excluding = begun_request(excluded_ids=frozenset({"desk-0"}))
+        waiting = asyncio.create_task(dispatcher.acquire(excluding))
+        await asyncio.sleep(0)
+        target = await dispatcher.acquire(dispatch_request(max_queue_seconds=0.0))
+        assert target.endpoint.id == "desk-0"
+        with pytest.raises(RefusedError):
+            await waiting
+
+    async def test_do_not_hold_up_the_queue_where_they_exclude_the_endpoint_that_gets_room(
+        self, dispatcher: Dispatcher
+    ) -> None:
+        held = await fill(dispatcher)
+        excluding = begun_request(excluded_ids=frozenset({"desk-0"}))
+        waiting = asyncio.create_task(dispatcher.acquire(excluding))
+        await asyncio.sleep(0)
+        queued = asyncio.create_task(dispatcher.acquire(dispatch_request(max_queue_seconds=3.0)))
+        await asyncio.sleep(0)
+        dispatcher.release(held[0])
+        assert (await queued).endpoint.id == "desk-0"
+        with pytest.raises(RefusedError):
+            await waiting
+
+    async def test_hold_up_new_requests_for_a_limited_time(self, dispatcher: Dispatcher) -> None:
+        held = await fill(dispatcher)
+        waiting = asyncio.create_task(dispatcher.acquire(begun_request(0.1)))
+        await asyncio.sleep(0)
+        assert dispatcher._waiters_ahead(dispatch_request())
+        await asyncio.sleep(0.15)
+        dispatcher.dispatch_waiting()
+        assert not dispatcher._waiters_ahead(dispatch_request())
+        dispatcher.release(held[0])
+        await waiting
+
+    async def test_are_all_served_though_some_are_tried_at_a_time(
+        self, dispatcher: Dispatcher
+    ) -> None:
+        held = await fill(dispatcher)
+        excluding = begun_request(0.0, excluded_ids=frozenset({"desk-0"}))
+        blocked = [asyncio.create_task(dispatcher.acquire(excluding)) for _ in range(5)]
+        await asyncio.sleep(0)
+        waiting = asyncio.create_task(dispatcher.acquire(begun_request(0.0)))
+        await asyncio.sleep(0)
+        dispatcher.release(held[0])
+        for _ in blocked:
+            dispatcher.dispatch_waiting()
+        assert (await waiting).endpoint.id == "desk-0"
+        await asyncio.gather(*blocked, return_exceptions=True)
+
+    async def test_use_an_excluded_endpoint_only_as_a_last_resort(
+        self, dispatcher: Dispatcher
+    ) -> None:
+        excluded = frozenset({"desk-0"})
+        with pytest.raises(RefusedError):
+            await dispatcher.acquire(begun_request(max_queue_seconds=0.0, excluded_ids=excluded))
+        target = await dispatcher.acquire(
+            begun_request(excluded_ids=excluded, last_resort_excluded_ids=frozenset())
+        )
+        assert target.endpoint.id == "desk-0"
+        with pytest.raises(RefusedError):
+            await dispatcher.acquire(
+                begun_request(
+                    max_queue_seconds=0.0,
+                    excluded_ids=excluded,
+                    last_resort_excluded_ids=excluded,
+                )
+            )
+
+
 class TestRefusal:
     async def test_refused_after_the_wait_with_a_retry_time(self, dispatcher: Dispatcher) -> None:
         await fill(dispatcher)
--- a/tests/test_layer_paths.py
+++ b/tests/test_layer_paths.py
@@ -64,6 +64,14 @@
         loads.record_failure("x2")
         assert "x2" not in ids(choose_path(MODEL, CHAINS, loads, LinkLoads(), DEMAND))
 
+    def test_suspect_engine_is_used_if_suspects_are_included(self) -> None:
+        loads = EndpointLoads()
+        for endpoint in CHAINS:
+            loads.record_failure(endpoint.id)
+        assert not ids(choose_path(MODEL, CHAINS, loads, LinkLoads(), DEMAND))
+        choice = choose_path(MODEL, CHAINS, loads, LinkLoads(), DEMAND, include_suspects=True)
+        assert ids(choice) == [f"x{i}" for i in range(5)]
+
     def test_leaving_engine_is_excluded(self) -> None:
         entries = [replace(e, leaving=e.id == "x2") for e in CHAINS]
         assert "x2" not in ids(choose_path(MODEL, entries, EndpointLoads(), LinkLoads(), DEMAND))
