--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_attempts.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_attempts.py
@@ -1,16 +1,18 @@
 """What the attempts of one request may still use: sends, retries of the budget and capacity.
 
 An attempt that may still succeed is given up only once another one is certain. Silence is no proof
-of a fault, so a request that cannot go on elsewhere waits for the endpoint that it has.
+of a fault, so a request that cannot go on elsewhere waits for the endpoint that it has. A request
+that has begun and has no attempt left waits for what another one requires.
 """
 
 import asyncio
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from ragwortpaddled.coordination._crash_tracker import CrashTracker
 from ragwortpaddled.coordination._dispatcher import Dispatcher, DispatchRequest, Target
+from ragwortpaddled.coordination._endpoint_client import EndpointClient
 from ragwortpaddled.coordination._reach_monitor import ReachMonitor
 from ragwortpaddled.coordination._request_log import log_request
 from ragwortpaddled.errors import (
@@ -30,7 +32,14 @@
 # Callers abandon a stream that has not started within 2 s, even if their deadline is later.
 STREAM_WAIT_SECONDS = 1.2
 MAX_WAIT_SHARE = 0.5  # of the time until the deadline; the rest is for processing
-MAX_SENDS = 4
+MAX_SENDS = 4  # of a request that no endpoint has begun to run
+# For a request that has begun:
+BUDGET_POLL_SECONDS = 0.05
+QUEUE_ROUND_SECONDS = 0.5  # then the budget and the links are looked at again
+QUEUE_HOLD_SECONDS = 1.0  # after its last run; then new requests may overtake it
+LAST_RESORT_SECONDS = 0.5  # likewise; then it may go back to endpoints that were silent or full
+REFUSAL_PAUSE_SECONDS = 0.025  # after a refused attempt; doubles with each consecutive one
+MAX_REFUSAL_PAUSE_SECONDS = 1.6
 DEFAULT_RETRY_AFTER_SECONDS = 0.5
 
 
@@ -39,6 +48,7 @@
     """The attempts of one request; times are in seconds on the monotonic clock."""
 
     dispatcher: Dispatcher
+    endpoint_client: EndpointClient
     crash_tracker: CrashTracker
     retry_budget: PoolRetryBudget
     metadata: RequestMetadata
@@ -52,24 +62,42 @@
     reach_monitor: ReachMonitor
     sends: int = 0
     possible_runs: int = 0
-    excluded_ids: set[str] = field(default_factory=set)
+    obstacle: str = ""  # what last kept the request from another attempt
+    _failed_ids: set[str] = field(default_factory=set)  # endpoints that broke an attempt off
+    _avoided_ids: set[str] = field(default_factory=set)  # silent, unreachable or full ones
+    _consecutive_refusals: int = 0
+    _last_run_ended_at: float = 0.0  # of the runs that may have taken place
     _arrivals: int = 0  # attempts that an endpoint may have received
     _replacement: Target | None = None
-    _obstacle: str = ""  # what last kept the current attempt from being replaced
+
+    @property
+    def begun(self) -> bool:
+        """Return whether an endpoint may have run the request in an earlier attempt."""
+        return self.possible_runs > 0
 
     @property
     def exhausted(self) -> bool:
         """Return whether the request was sent as often as it may be."""
-        return self.possible_runs >= self.route.max_attempts or self.sends >= MAX_SENDS
+        if self.possible_runs >= self.route.max_attempts:
+            return True
+        return not self.begun and self.sends >= MAX_SENDS
+
+    @property
+    def excluded_ids(self) -> set[str]:
+        """Return the ids of the endpoints at which the request failed."""
+        return self._failed_ids | self._avoided_ids
 
     async def start(self) -> Target:
         """Return the target of the next attempt, reserved with a retry unless it is the first.
 
-        :raises RefusedError: something that the attempt requires is not available
+        A request that has begun waits for it, until it is cancelled.
+
+        :raises RefusedError: something that the attempt requires is not available, or the request
+            is quarantined
         """
         target, self._replacement = self._replacement, None
         if target is None:
-            target = await self._acquire()
+            target = await (self._wait_for_target() if self.begun else self._acquire())
         if not self.responder.started:
             # The request may have been quarantined while it was queued.
             try:
@@ -78,9 +106,29 @@
                 self._return_unused(target)
                 raise
         self.sends += 1
-        self._obstacle = ""
+        self.obstacle = ""
         return target
 
+    def record_refused(self, refusal: RefusedError | None = None) -> None:
+        """Record that no endpoint ran the last attempt, or that it was not sent for a refusal."""
+        self._consecutive_refusals += 1
+        if refusal is not None:
+            self._record_waiting(refusal)
+
+    def record_possible_run(self) -> None:
+        """Record that an endpoint may have run the last attempt."""
+        self._consecutive_refusals = 0
+        self._last_run_ended_at = time.monotonic()
+        self.possible_runs += 1
+
+    def exclude(self, error: EndpointError) -> None:
+        """Avoid the endpoint of a failed attempt in the next ones.
+
+        An endpoint that was only silent, unreachable or full is used again if no other has room.
+        """
+        only_unavailable = isinstance(error, StalledError | NotRunError)
+        (self._avoided_ids if only_unavailable else self._failed_ids).add(error.endpoint)
+
     def finish(self, target: Target) -> None:
         """Release an attempt's target, and its retry if no endpoint can have received it."""
         if target.may_have_received:
@@ -130,13 +178,32 @@
         lost = isinstance(error, StalledError | NotRunError) and bool(target.path)
         return target.loads.record_failure(error.endpoint, suspected_lost=lost)
 
+    async def _wait_for_target(self) -> Target:
+        """Return the next target of a request that has begun, waiting for what it lacks."""
+        if self._consecutive_refusals:
+            pause = REFUSAL_PAUSE_SECONDS * 2 ** (self._consecutive_refusals - 1)
+            await asyncio.sleep(min(pause, MAX_REFUSAL_PAUSE_SECONDS))
+        while True:
+            if not self.responder.started:
+                await self.crash_tracker.admit(self.fingerprint)
+            try:
+                self.endpoint_client.refuse_without_links()
+                return await self._reserve(self._begun_request())
+            except RefusedError as refusal:
+                self._record_waiting(refusal)
+            await asyncio.sleep(BUDGET_POLL_SECONDS)
+
     async def _acquire(self) -> Target:
+        self.endpoint_client.refuse_without_links()
+        if not self.responder.started:
+            await self.crash_tracker.admit(self.fingerprint)
+        return await self._reserve(self._dispatch_request())
+
+    async def _reserve(self, request: DispatchRequest) -> Target:
         is_retry = self._arrivals > 0
         if is_retry and not self.retry_budget.available(self.pool.name):
             raise _budget_refusal()
-        if not self.responder.started:
-            await self.crash_tracker.admit(self.fingerprint)
-        target = await self.dispatcher.acquire(self._dispatch_request())
+        target = await self.dispatcher.acquire(request)
         if is_retry and not self.retry_budget.try_acquire(self.pool.name):
             self.dispatcher.release(target)
             raise _budget_refusal()
@@ -180,7 +247,7 @@
         """Return what rules out another attempt beside the current one, empty if nothing does."""
         if not self.route.retryable:
             return "route is not retryable"
-        if self.possible_runs + 1 >= self.route.max_attempts or self.sends >= MAX_SENDS:
+        if self.possible_runs + 1 >= self.route.max_attempts:
             return "last attempt"
         if not self.retry_budget.available(self.pool.name):
             return "retry budget exhausted"
@@ -193,9 +260,9 @@
         silent = isinstance(fault, StalledError) and bool(fault.endpoint)
         if silent and not target.loads.get(fault.endpoint).suspect(time.monotonic()):
             self.record_endpoint_failure(fault, target)
-        if obstacle == self._obstacle:
+        if obstacle == self.obstacle:
             return
-        self._obstacle = obstacle
+        self.obstacle = obstacle
         log_request(
             self.metadata,
             "attempt kept",
@@ -205,6 +272,41 @@
             budget_left=int(self.retry_budget.remaining(self.pool.name)),
         )
 
+    def _record_waiting(self, refusal: RefusedError) -> None:
+        if refusal.reason == self.obstacle:
+            return
+        self.obstacle = refusal.reason
+        log_request(
+            self.metadata,
+            "attempt deferred",
+            obstacle=self.obstacle,
+            since=self.started_at,
+            **self.explain(),
+            **refusal.inputs,
+        )
+
+    def explain(self) -> dict[str, object]:
+        """Return what decides whether another attempt is possible, as fields of a log line."""
+        return {
+            "budget_left": int(self.retry_budget.remaining(self.pool.name)),
+            "sends": self.sends,
+            "possible_runs": self.possible_runs,
+            "max_attempts": self.route.max_attempts,
+            "remaining_ms": int((self.deadline - time.monotonic()) * 1000),
+            "excluded": sorted(self.excluded_ids),
+        }
+
+    def _begun_request(self) -> DispatchRequest:
+        now = time.monotonic()
+        last_resort = now - self._last_run_ended_at >= LAST_RESORT_SECONDS
+        return replace(
+            self._dispatch_request(),
+            queue_deadline=min(self.deadline, now + QUEUE_ROUND_SECONDS),
+            begun=True,
+            holds_queue_until=self._last_run_ended_at + QUEUE_HOLD_SECONDS,
+            last_resort_excluded_ids=frozenset(self._failed_ids) if last_resort else None,
+        )
+
     def _dispatch_request(self, failed_id: str = "") -> DispatchRequest:
         now = time.monotonic()
         if self.route.request_kind is RequestKind.STREAM:
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relayed_request.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relayed_request.py
@@ -69,7 +69,6 @@
     def __post_init__(self) -> None:
         self._splitter = EventSplitter()
         self._splitter.last_id = self.metadata.last_event_id
-        self._may_have_run = False
         self._timeout: asyncio.Timeout | None = None
         self._end_refusal: RefusedError | None = None  # why the daemon ended the request early
         self._target: Target | None = None  # of an attempt that may still run the request
@@ -82,6 +81,7 @@
         )
         self._attempts = Attempts(
             self.dispatcher,
+            self.endpoint_client,
             self.crash_tracker,
             self.retry_budget,
             self.metadata,
@@ -106,6 +106,9 @@
                 return await self._attempt_until_answered()
         except TimeoutError:
             return await self._end_expired()
+        except asyncio.CancelledError:
+            self._record_given_up("caller" if self.responder.disconnected else "daemon", "")
+            raise
         except RefusedError:
             raise
         except Exception:
@@ -138,7 +141,6 @@
     async def _attempt_until_answered(self) -> str:
         while True:
             try:
-                self.endpoint_client.refuse_without_links()
                 target = await self._attempts.start()
             except RefusedError as refusal:
                 return await self._end_refused(refusal)
@@ -149,21 +151,26 @@
                 telemetry.attempts.add(1, {"result": "answered"})
                 return "served"
             except RefusedError as refusal:
-                return await self._end_refused(refusal)
+                if not self._attempts.begun:
+                    return await self._end_refused(refusal)
+                self._target = None
+                self._attempts.record_refused(refusal)
             except NotRunError as error:
                 self._target = None
                 self._record_failure(error, target)
+                self._attempts.record_refused()
             except MaybeRunError as error:
                 self._record_failure(error, target)
                 if isinstance(error, ResponseLostError) and not self._began:
                     await self._record_lost_response(target)
-                self._may_have_run = True
-                self._attempts.possible_runs += 1
+                self._attempts.record_possible_run()
                 if not self.route.retryable:
+                    self._attempts.obstacle = "route is not retryable"
                     return await self._end_with_error(502, error.reason)
             finally:
                 self._attempts.finish(target)
             if self._attempts.exhausted:
+                self._attempts.obstacle = "last attempt"
                 reason = f"all {self._attempts.sends} attempts failed"
                 return await self._end_with_error(502, reason)
 
@@ -358,7 +365,7 @@
     def may_have_run(self) -> bool:
         """Return whether an endpoint may have run the request, or may be running it."""
         in_progress = self._target is not None and self._target.may_have_received
-        return self._may_have_run or in_progress
+        return self._attempts.begun or in_progress
 
     def _mark_links_congested(self, target: Target) -> None:
         for link in target.links:
@@ -377,7 +384,7 @@
             # The peer, or the link to it, is as likely at fault as the endpoint.
             self.endpoint_client.record_peer_failure(target.peer)
         elif error.endpoint and not links_lost:
-            self._attempts.excluded_ids.add(error.endpoint)
+            self._attempts.exclude(error)
             seconds = self._attempts.record_endpoint_failure(error, target)
         telemetry.attempts.add(1, {"result": type(error).__name__})
         log_request(
@@ -403,8 +410,24 @@
             raise refusal
         return await self._end_with_error(502, refusal.reason)
 
+    def _record_given_up(self, decided_by: str, reason: str) -> None:
+        """Log what ruled out going on with a request that an endpoint may have run."""
+        if not self.may_have_run or self.responder.complete:
+            return
+        log_request(
+            self.metadata,
+            "request given up",
+            decided_by=decided_by,
+            reason=reason,
+            obstacle=self._attempts.obstacle,
+            response="started" if self.responder.started else "not started",
+            since=self.started_at,
+            **self._attempts.explain(),
+        )
+
     async def _end_with_error(self, status: int, reason: str) -> str:
         """End with an error; a 503 guarantees that no endpoint ran the request."""
+        self._record_given_up("daemon", reason)
         if self.responder.started:
             raise ConnectionResetError(reason)
         if not self.may_have_run and status == 502:
--- a/packages/standins/src/ragwortpaddle_standins/relay_platform.py
+++ b/packages/standins/src/ragwortpaddle_standins/relay_platform.py
@@ -479,6 +479,7 @@
     answer with an error status. A request with a prompt part in
     ``deadly_parts`` crashes the engine when it begins to run; the engine restarts without layers.
     ``fall_silent`` stops everything for a while, reports too, and then goes on.
+    ``refusals_left`` is the number of streams, counted down, that are refused with 503 and not run.
     """
 
     event_count = EVENT_COUNT
@@ -491,6 +492,8 @@
     deadly_parts: frozenset[str] = frozenset()
     restart_seconds = 0.3
     restart_task: asyncio.Task[None] | None = None
+    refusals_left = 0
+    refusal_count = 0
 
     def __post_init__(self) -> None:
         super().__post_init__()
@@ -596,6 +599,12 @@
             headers = [*self._response_headers(request), (b"At-Server", lacking_address.encode())]
             await responder.send(421, headers, b"")
             return
+        if self.refusals_left:
+            self.refusals_left -= 1
+            self.refusal_count += 1
+            headers = [*self._response_headers(request), (b"X-Not-Executed", b"1")]
+            await responder.send(503, headers, b"")
+            return
         attempt_id = attempt_id_of(request)
         self._record_request(request)
         if self.deadly_parts.intersection(prompt_parts_of(request)):
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,11 +3,15 @@
 import sys
 from collections.abc import Callable, Iterator
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import pytest
 from ragwortpaddle_standins import demo
 from ragwortpaddle_standins.fleet import Fleet
 
+if TYPE_CHECKING:
+    from relay_fleet import RelayTestBed
+
 ROOT = Path(__file__).parent.parent
 sys.path.insert(0, str(ROOT / "platform"))  # the platform loads the adapter from here
 OBJECTS_PATH = ROOT / "examples" / "workshops.ini"
@@ -47,3 +51,15 @@
     yield start_installation
     for fleet in fleets:
         fleet.stop()
+
+
+@pytest.fixture(params=["calm", "configuration change"])
+def change_configuration(request: pytest.FixtureRequest) -> Callable[["RelayTestBed"], None]:
+    """Return a function that changes the configuration, or leaves it, as the test's parameter."""
+
+    def change(testbed: "RelayTestBed") -> None:
+        if request.param == "configuration change":
+            current = testbed.store.object_by_key["config/main"]["spec"]
+            testbed.store.put("config", "main", {**current, "version": current["version"] + 1})
+
+    return change
--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -1,18 +1,24 @@
 """Endpoints that fall silent and go on: an attempt ends early only for a secured replacement."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 from pathlib import Path
 
 import pytest
-from ragwortpaddle_standins.relay_platform import EVENT_STREAM, Engine, configuration
+from ragwortpaddle_standins.relay_platform import EVENT_STREAM, configuration
 from ragwortpaddled.errors import ReplyLostError
-from ragwortpaddled.transport import Http1Connection
 from relay_fleet import RelayTestBed
-
-NO_RETRIES = "[retry]\nratio = 0\nslack = 0\n"
-EVENT_INTERVAL_SECONDS = 0.05
-SLOW_EVENT_INTERVAL_SECONDS = 0.2
+from stream_helpers import (
+    EVENT_INTERVAL_SECONDS,
+    NO_RETRIES,
+    SLOW_EVENT_INTERVAL_SECONDS,
+    consumed_retries,
+    executions,
+    first_engine,
+    occupy_one_of_two_paths,
+    read_all,
+    start_stream,
+)
 
 
 @pytest.fixture
@@ -27,49 +33,12 @@
         yield testbed
 
 
-@pytest.fixture(params=["calm", "configuration change"])
-def change_configuration(request: pytest.FixtureRequest) -> Callable[[RelayTestBed], None]:
-    """Return a function that changes the configuration, or leaves it, as the test's parameter."""
-
-    def change(testbed: RelayTestBed) -> None:
-        if request.param == "configuration change":
-            current = testbed.store.object_by_key["config/main"]["spec"]
-            testbed.store.put("config", "main", {**current, "version": current["version"] + 1})
-
-    return change
-
-
 async def change_routes(testbed: RelayTestBed, **fields: object) -> None:
     routes = [{**route, **fields} for route in configuration()["routes"]]
     testbed.store.put("config", "main", configuration(5, routes=routes))
     await asyncio.sleep(0.2)
 
 
-async def read_all(connection: Http1Connection) -> bytes:
-    body = b""
-    while (data := await connection.read_body_part()) is not None:
-        body += data
-    return body
-
-
-def first_engine(testbed: RelayTestBed, attempt_id: str = "a1") -> Engine:
-    return next(engine for engine in testbed.engines if engine.count_executions(attempt_id))
-
-
-def executions(testbed: RelayTestBed, attempt_id: str = "a1") -> int:
-    return sum(e.count_executions(attempt_id) for e in (*testbed.engines, *testbed.desks))
-
-
-async def start_stream(
-    testbed: RelayTestBed, path: bytes, interval_seconds: float = EVENT_INTERVAL_SECONDS
-) -> Http1Connection:
-    for engine in testbed.engines:
-        engine.event_interval_seconds = interval_seconds
-    connection = await testbed.send(b"POST", path)
-    assert (await connection.read_head()).status == 200
-    return connection
-
-
 class TestSilentEngine:
     async def test_stream_that_cannot_be_resumed_is_not_cut(
         self, testbed: RelayTestBed, change_configuration
@@ -150,25 +119,6 @@
         assert executions(testbed) == 2
 
 
-async def occupy_one_of_two_paths(testbed: RelayTestBed) -> Http1Connection:
-    """Start an endless stream on one path, and leave one slot on the other."""
-    for engine in testbed.engines:
-        engine.slots = 1
-        engine.register()
-    services = configuration()["services"]
-    services[0]["engine"]["slots"] = 1
-    testbed.store.put("config", "main", configuration(5, services=services))
-    await asyncio.sleep(0.2)
-    for engine in testbed.engines:
-        engine.event_interval_seconds = SLOW_EVENT_INTERVAL_SECONDS
-        engine.event_count = 10_000
-    connection = await testbed.send(b"POST", b"/ask/2", b"occupying", deadline=b"20000")
-    await connection.read_head()
-    for engine in testbed.engines:
-        engine.event_count = 8
-    return connection
-
-
 class TestReservations:
     async def test_retry_that_finds_no_capacity_is_not_consumed(
         self, testbed: RelayTestBed
@@ -177,7 +127,7 @@
         for engine in testbed.engines:
             engine.fault = "" if engine.count_executions("occupying") else "torn"
         with pytest.raises(ReplyLostError):
-            await testbed.ask(b"POST", b"/ask/1")
+            await testbed.ask(b"POST", b"/ask/1", deadline=b"1500")
         assert executions(testbed) == 1
         assert not consumed_retries(testbed)
         occupying.close()
@@ -206,10 +156,6 @@
         assert not consumed_retries(testbed)
 
 
-def consumed_retries(testbed: RelayTestBed) -> int:
-    return len(testbed.daemon._peers._retry_budget._retries_by_pool["model"])
-
-
 class TestSlowSafeRequest:
     async def test_answer_is_not_replaced_without_a_retry_left_in_the_budget(
         self, testbed_without_retries: RelayTestBed, change_configuration
