Ask peers of several data centres before an endpoint counts as lost

A daemon that can't reach an endpoint asked peers in random order and took the first answer. If the links between two data centres are lost, a third of 90 daemons share that cause: each of them asks a peer of its own data centre with a chance of a third, twice, and that peer then suspects the endpoint as well, so a quorum of two is certain to be reached by many.

Now up to three peers are asked at once, of different data centres if possible, and one that reaches the endpoint is enough to keep it. The quorum of two stays: a vote is only given after this check. The messages are unchanged.

Evidence: test_engine_that_a_third_daemon_reaches_is_not_lost failed on the code before (the asking daemon's own_suspect_ids named the engine) and passes now; test_peers_of_all_data_centres_are_asked_about_an_endpoint tests the choice, which is new.

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_peers.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_peers.py
@@ -10,6 +10,7 @@
 import random
 import secrets
 import time
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from ipaddress import ip_address
 
@@ -54,7 +55,7 @@
 GOSSIP_FANOUT = 2
 EXCHANGE_TIMEOUT_SECONDS = 0.5
 PROBE_TIMEOUT_SECONDS = 0.6  # longer than a connection attempt may take
-MAX_PROBING_PEERS = 3  # some may be cut off themselves
+MAX_PROBING_PEERS = 3  # of different data centres; some may be cut off themselves
 MIN_ROUND_INTERVAL_SECONDS = 0.1  # between rounds that news of crashes starts
 CRASH_PUSH_SECONDS = 2.0  # records that changed before are only sent on request
 JOIN_RETRY_SECONDS = 1.0
@@ -110,6 +111,7 @@
         self._links = PeerLinks(self._keys)
         self._server: PeerServer | None = None
         self._address_by_name: dict[str, str] = {}
+        self._data_centre_by_name: dict[str, str] = {}
         self._unreachable: set[str] = set()
         self._reachable: set[str] = set()
         self._entry_version = ABSENT_VERSION
@@ -250,6 +252,7 @@
             return
         if stored is None:
             self._address_by_name.pop(name, None)
+            self._data_centre_by_name.pop(name, None)
             self._reachable.discard(name)
             self._discard_peer_state(name)
             self._forwarding.peers.remove(name)
@@ -261,6 +264,7 @@
                 logger.warning("malformed daemon entry ignored", extra={"fields": fields})
                 return
             self._address_by_name[name] = entry.address
+            self._data_centre_by_name[name] = entry.data_centre
             if entry.forward_address:
                 self._forwarding.peers.add(
                     ForwardingPeer(name, entry.forward_address, entry.data_centre)
@@ -365,21 +369,39 @@
         )
 
     async def _probe_by_peer(self, address: str, unreachable_seconds: float) -> bool | None:
-        """Ask a peer whether an endpoint accepts connections; None if none can tell."""
-        names = sorted(self._address_by_name.keys() - self._unreachable)
+        """Ask peers whether an endpoint accepts connections from any; None if none can tell."""
         message = ProbeEndpoint(address, unreachable_seconds)
-        for name in self._random.sample(names, min(MAX_PROBING_PEERS, len(names))):
-            try:
-                reply = await self._links.request(
-                    self._address_by_name[name], message, PROBE_TIMEOUT_SECONDS
-                )
-            except TransportError as error:
-                fields = {"peer": name, "address": address, "reason": str(error)}
-                logger.info("peer did not probe an endpoint", extra={"fields": fields})
-                continue
-            if isinstance(reply, ProbeEndpointReply) and reply.accepts is not None:
-                return reply.accepts
-        return None
+        answers = await asyncio.gather(
+            *(self._ask_probe(name, message) for name in self._probing_peers())
+        )
+        known = [answer for answer in answers if answer is not None]
+        return any(known) if known else None
+
+    def _probing_peers(self) -> list[str]:
+        """Return some peers at random, of as many data centres as possible.
+
+        The links between two data centres may be lost, which all daemons of the one notice.
+        """
+        names = sorted(self._address_by_name.keys() - self._unreachable)
+        self._random.shuffle(names)
+        rank_by_name = {}
+        count_by_data_centre: Counter[str] = Counter()
+        for name in names:
+            data_centre = self._data_centre_by_name[name]
+            rank_by_name[name] = count_by_data_centre[data_centre]
+            count_by_data_centre[data_centre] += 1
+        return sorted(names, key=lambda name: rank_by_name[name])[:MAX_PROBING_PEERS]
+
+    async def _ask_probe(self, name: str, message: ProbeEndpoint) -> bool | None:
+        try:
+            reply = await self._links.request(
+                self._address_by_name[name], message, PROBE_TIMEOUT_SECONDS
+            )
+        except TransportError as error:
+            fields = {"peer": name, "address": message.address, "reason": str(error)}
+            logger.info("peer did not probe an endpoint", extra={"fields": fields})
+            return None
+        return reply.accepts if isinstance(reply, ProbeEndpointReply) else None
 
     async def _handle_message(self, body: bytes) -> bytes:
         message = decode_message(body)
--- a/tests/test_stranded_vm.py
+++ b/tests/test_stranded_vm.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import random
 import time
 from collections import Counter, defaultdict
 from collections.abc import AsyncIterator, Iterator
@@ -42,6 +43,16 @@
 ALL_WAYS = pytest.mark.parametrize("way", list(Way))
 
 
+class FirstNames(random.Random):
+    """A source of random numbers that takes the first peers by name."""
+
+    def sample(self, population, k, **_: object):
+        return list(population)[:k]
+
+    def shuffle(self, x) -> None:
+        return
+
+
 @dataclass(slots=True)
 class Result:
     """What a caller got for one request; ``status`` is 0 for a lost connection or no response."""
@@ -449,6 +460,31 @@
         await sleep_until(started_at + 2 * CONTACT_SECONDS)
         assert max(opened_at) < started_at + CONTACT_SECONDS
 
+    async def test_engine_that_a_third_daemon_reaches_is_not_lost(
+        self, fleet: StrandedFleet
+    ) -> None:
+        """The links between two data centres were lost, and two daemons of one made a quorum."""
+        engine = fleet.testbed.engines[0]
+        for daemon in fleet.daemons[:2]:
+            fleet.cut_of(daemon).start(Way.HANG, {engine.address})
+        daemon = fleet.daemons[0]
+        await fleet.testbed.wait(lambda: len(daemon._peers._address_by_name) == 2, "both peers")
+        daemon._peers._random = FirstNames()
+        monitor = daemon._reach_monitor
+        monitor.check_endpoint(daemon._relay_directory.entry_by_id[engine.id])
+        await asyncio.gather(*monitor._verify_task_by_id.values())
+        for daemon in fleet.daemons:
+            assert not daemon._relay_directory.loads.own_suspect_ids()
+
+    async def test_peers_of_all_data_centres_are_asked_about_an_endpoint(
+        self, fleet: StrandedFleet
+    ) -> None:
+        peers = fleet.daemons[0]._peers
+        peers._address_by_name = {f"{zone}{number}": "" for zone in "abc" for number in range(9)}
+        peers._data_centre_by_name = {name: name[0] for name in peers._address_by_name}
+        for _ in range(10):
+            assert sorted(name[0] for name in peers._probing_peers()) == ["a", "b", "c"]
+
     async def test_dead_engine_is_counted_as_lost_without_peers_that_forward(
         self, fleet: StrandedFleet
     ) -> None:
