Estimate unreported requests from the peers with a recent report

Counting from all daemons' logs, an engine refused at 67 to 119 running requests (by its published size, its memory holds about 87 of typical size), first engines at 143 to 146, and none of the refused requests had waited for capacity.

Cause: a daemon has the reports of a fifth of its peers. It knew the mean number of requests of the others, not where they were, simulated them on the cheapest paths in 6 steps, and placed its own request after a random number of steps from 0 to 6. So a seventh of all requests was placed as if no other request existed, at any load, and the rest by reports of up to 2 s.

Change: peers are chosen at random, so those with a recent report are a sample of the fleet, and the others are assumed to use each engine as much. The margin for memory is the standard error of this estimate. Loads expire after 1 s instead of 2 s, suspicions after 2 s as before. The simulation remains for daemons with fewer than three reports. No message between daemons changes.

Ruled out in the model: reports from more peers.

--- a/packages/ragwortpaddled/src/ragwortpaddled/state/_endpoint_loads.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/_endpoint_loads.py
@@ -23,9 +23,11 @@
 LOST_ENGINE_SUSPICION_SECONDS = 4.0
 MAX_SUSPICION_SECONDS = 4.0
 SUSPICION_QUORUM = 2  # a single daemon may only have lost its own connection to the endpoint
-# Both reports are outdated after the typical duration of a generation.
-PEER_REPORT_TTL_SECONDS = 2.0
-REPORTED_LOAD_TTL_SECONDS = 2.0
+# Daemons that place requests by outdated loads all choose the engines that were idle then. A few
+# recent reports give a better estimate than many of which some are older.
+PEER_LOAD_TTL_SECONDS = 1.0
+PEER_SUSPICION_TTL_SECONDS = 2.0
+REPORTED_LOAD_TTL_SECONDS = 2.0  # outdated after the typical duration of a generation
 
 
 @dataclass(slots=True)
@@ -99,6 +101,7 @@
     requests_by_pool: Mapping[str, int]
     suspect_ids: list[str]
     suspected_since_by_id: dict[str, float]
+    load_expired: bool = False
 
 
 class EndpointLoads:
@@ -179,28 +182,42 @@
             return
         for endpoint_id in report.suspect_ids:
             self.get(endpoint_id).suspecting_peer_count -= 1
-        for endpoint_id, count in report.running_by_id.items():
-            self.get(endpoint_id).peer_requests -= count
+        self._remove_load(report)
+
+    def count_reporting_peers(self) -> int:
+        """Return the number of peers whose load is known from a recent report."""
+        return len(self._recent_reports())
 
     def estimate_unreported_requests(self, pool: str) -> float:
         """Estimate the requests of a pool at daemons without a recent report.
 
         Each such daemon is assumed to hold the mean of the daemons with a report and of this one.
         """
-        self._evict_expired_reports()
-        counts = [report.requests_by_pool.get(pool, 0) for report in self._report_by_peer.values()]
+        counts = [report.requests_by_pool.get(pool, 0) for report in self._recent_reports()]
         reporting_daemons = len(counts) + 1
         # The request being placed counts too: if one arrived here, others have arrived elsewhere.
         mean = (sum(counts) + self.own_requests_by_pool[pool] + 1) / (reporting_daemons + 1)
         return mean * max(0, self.daemon_count - reporting_daemons)
 
-    def _evict_expired_reports(self) -> None:
-        earliest_valid = time.monotonic() - PEER_REPORT_TTL_SECONDS
-        while self._report_by_peer:
-            name = next(iter(self._report_by_peer))
-            if self._report_by_peer[name].received_at >= earliest_valid:
-                return
-            self.remove_peer(name)
+    def _recent_reports(self) -> list[_PeerReport]:
+        """Return the reports with a current load, after removing what has expired."""
+        now = time.monotonic()
+        for name, report in list(self._report_by_peer.items()):
+            if report.received_at < now - PEER_SUSPICION_TTL_SECONDS:
+                self.remove_peer(name)
+            elif report.received_at < now - PEER_LOAD_TTL_SECONDS:
+                self._remove_load(report)
+            else:
+                break
+        return [report for report in self._report_by_peer.values() if not report.load_expired]
+
+    def _remove_load(self, report: _PeerReport) -> None:
+        """Remove the running requests of a report from the totals; a second call does nothing."""
+        if report.load_expired:
+            return
+        report.load_expired = True
+        for endpoint_id, count in report.running_by_id.items():
+            self.get(endpoint_id).peer_requests -= count
 
     def get(self, endpoint_id: str) -> EndpointLoad:
         """Return the load of an endpoint; an unknown endpoint gets an empty one."""
--- a/packages/ragwortpaddled/src/ragwortpaddled/state/_layer_paths.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/_layer_paths.py
@@ -140,8 +140,7 @@
     kind = model.kind_by_name.get(endpoint.kind)
     if kind is None:
         return _Memory(0.0, 0.0, has_slot=False)
-    # Daemons place requests independently, so the count varies by about its square root.
-    unreported += math.sqrt(unreported)
+    unreported += _standard_error(unreported, load.peer_requests)
     typical_tokens = model.typical_prompt_tokens + model.typical_answer_tokens / 2
     return _Memory(
         token_capacity(model, kind, len(endpoint.layers)) * MAX_MEMORY_UTILIZATION,
@@ -150,6 +149,15 @@
     )
 
 
+def _standard_error(unreported: float, reported: int) -> float:
+    """Return the standard error of an estimate of unreported requests.
+
+    Daemons place requests independently, so a count varies by its square root, and what is
+    extrapolated from it varies in proportion.
+    """
+    return unreported / math.sqrt(reported) if reported else math.sqrt(unreported)
+
+
 @dataclass(frozen=True, slots=True)
 class _PartialPath:
     """The cheapest path through all layers below some layer."""
--- a/packages/ragwortpaddled/src/ragwortpaddled/state/_unreported_loads.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/_unreported_loads.py
@@ -1,9 +1,12 @@
 """Estimates the placement of requests that other daemons have not yet reported.
 
 Load pattern: dozens of daemons each send few requests and receive each peer's report only every few
-seconds. From the reported load alone, all would select the same path and overcommit its memory. So
-a daemon simulates the unreported requests taking the cheapest path one after another, and selects
-its own path after a random number of them.
+seconds. From the reported load alone, all would select the same path and overcommit its memory.
+Exchanges choose their peers at random, so the peers with a recent report are a random sample of all
+daemons, and the others are assumed to use each endpoint as much.
+
+Without a sample, a daemon simulates the unreported requests taking the cheapest path one after
+another, and selects its own path after a random number of them.
 """
 
 import math
@@ -20,6 +23,7 @@
 MAX_PLACEMENT_STEPS = 6  # path searches per estimate; each takes about a millisecond
 ESTIMATE_TTL_SECONDS = 1.0  # the total over all daemons changes only as fast as traffic does
 MIN_UNREPORTED_REQUESTS = 0.5  # a smaller expected number is as likely to be none as one
+MIN_SAMPLED_PEERS = 3  # fewer say little about where the others place requests
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,10 +47,14 @@
         loads: EndpointLoads,
         links: LinkLoads,
     ) -> Mapping[str, float]:
-        """Return a random sample of the unreported requests by endpoint id.
+        """Return an estimate of the unreported requests by endpoint id.
 
-        The sample is the state after a random number of steps of the simulated placement.
+        Without enough recent reports, it is the state after a random number of steps of the
+        simulated placement.
         """
+        reporting_peers = loads.count_reporting_peers()
+        if reporting_peers >= MIN_SAMPLED_PEERS:
+            return _extrapolate(endpoints, loads, reporting_peers)
         count = loads.estimate_unreported_requests(pool)
         if count < MIN_UNREPORTED_REQUESTS:
             return NO_UNREPORTED_LOAD
@@ -59,6 +67,20 @@
         return self._random.choice(estimate.placed_by_id_after_step)
 
 
+def _extrapolate(
+    endpoints: Sequence[EndpointEntry], loads: EndpointLoads, reporting_peers: int
+) -> Mapping[str, float]:
+    """Assume that each daemon without a report uses the endpoints like the mean reporting peer."""
+    unreporting_daemons = max(0, loads.daemon_count - 1 - reporting_peers)
+    if not unreporting_daemons:
+        return NO_UNREPORTED_LOAD
+    return {
+        endpoint.id: requests * unreporting_daemons / reporting_peers
+        for endpoint in endpoints
+        if (requests := loads.get(endpoint.id).peer_requests)
+    }
+
+
 def _estimate_placement(
     model: LayeredModel,
     endpoints: Sequence[EndpointEntry],
