Avoid an endpoint for unreported requests only if it is very likely full

Cause: the mean of the daemons with a report, counting one request more, was assumed for each of the 70 others. One or two reported requests, beside the one to be placed, thus seemed to fill an endpoint of 6 slots, until the reports expired. A daemon without any report took every such endpoint for full. What the endpoint reports itself includes all daemons, but the assumed requests were added to it.

Change: the unreported requests of an endpoint are extrapolated from the requests reported for it, less the standard error, and compared with what the endpoint reports instead of added to it. Of ten peers, one with a request says nothing about the other 79; eight with a request still make it full.

Shown by TestEndpointSharedByManyDaemons: 3 of its 5 cases fail on the code before (an idle endpoint, one with a request of one peer, a daemon without reports), and all pass now. That an endpoint which most peers use, or which reports its slots as taken, counts as full, held before and holds now.

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_dispatcher.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_dispatcher.py
@@ -296,8 +296,8 @@
         ]
         confirmed = [e for e in usable if not self._relay_directory.may_have_left(e)] or usable
         healthy = [e for e in confirmed if not loads.get(e.id).suspect(now)] or confirmed
-        unreported = loads.estimate_unreported_requests(request.pool.name) / max(1, len(healthy))
-        free = [e for e in healthy if loads.get(e.id).running(now) + unreported < e.slots]
+        # An endpoint queues what it has no slot for, so it is avoided only if very likely full.
+        free = [e for e in healthy if loads.min_running(e.id) < e.slots]
         if not free:
             return None
 
--- a/packages/ragwortpaddled/src/ragwortpaddled/state/_endpoint_loads.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/_endpoint_loads.py
@@ -47,16 +47,17 @@
     suspected_lost_since: float = 0.0
     suspecting_peer_count: int = 0
 
-    def other_requests(self, now: float) -> float:
+    def other_requests(self, now: float, *, unreported: float = 0.0) -> float:
         """Return the requests of other daemons: the larger of the peers' and the endpoint's count.
 
-        The endpoint's count is weighted down linearly with its age.
+        The endpoint's count is weighted down linearly with its age. ``unreported`` are requests of
+        daemons without a recent report, which only the endpoint's count includes.
         """
         age = now - self.reported_at
         reported_requests = self.reported_other_requests * max(
             0.0, 1.0 - age / REPORTED_LOAD_TTL_SECONDS
         )
-        return max(float(self.peer_requests), reported_requests)
+        return max(self.peer_requests + unreported, reported_requests)
 
     def running(self, now: float) -> float:
         """Return the number of requests that the endpoint is running for all daemons."""
@@ -188,6 +189,19 @@
         """Return the number of peers whose load is known from a recent report."""
         return len(self._recent_reports())
 
+    def min_running(self, endpoint_id: str) -> float:
+        """Return the number of requests that an endpoint is very likely running for all daemons.
+
+        The daemons without a recent report are assumed to use it like those with one, less the
+        standard error of that estimate: a request of one peer says nothing about the others.
+        """
+        reporting_peers = self.count_reporting_peers()
+        load = self.get(endpoint_id)
+        unreporting_daemons = max(0, self.daemon_count - 1 - reporting_peers)
+        certain_requests = load.peer_requests - math.sqrt(load.peer_requests)
+        unreported = certain_requests * unreporting_daemons / max(1, reporting_peers)
+        return load.own_requests + load.other_requests(time.monotonic(), unreported=unreported)
+
     def estimate_unreported_requests(self, pool: str) -> float:
         """Estimate the requests of a pool at daemons without a recent report.
 
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -144,3 +144,47 @@
         directory.possibly_left_ids.add("desk-0")
         target = await Dispatcher(directory, "a", random.Random(1)).acquire(dispatch_request())
         assert target.endpoint.id == "desk-0"
+
+
+class TestEndpointSharedByManyDaemons:
+    """Ninety daemons share an endpoint of two slots; each knows the requests of a tenth of them.
+
+    When the mean of the known daemons, and one request more, was assumed for each of the others, an
+    idle endpoint seemed full: requests waited for half of their time and were refused.
+    """
+
+    DAEMONS = 90
+    REPORTING_PEERS = 10
+
+    def dispatcher_with_reports(self, busy_peers: int) -> Dispatcher:
+        """Return a dispatcher that knows ten peers, some of which have a request running."""
+        directory = OneEndpointDirectory()
+        directory.loads.daemon_count = self.DAEMONS
+        for number in range(self.REPORTING_PEERS):
+            busy = number < busy_peers
+            directory.loads.update_peer(
+                f"entry-{number}", {"desk-0": 1} if busy else {}, [], {"desk": int(busy)}
+            )
+        return Dispatcher(directory, "a", random.Random(1))
+
+    @pytest.mark.parametrize("busy_peers", [0, 1])
+    async def test_request_of_one_peer_does_not_fill_it(self, busy_peers: int) -> None:
+        target = await self.dispatcher_with_reports(busy_peers).acquire(dispatch_request())
+        assert target.waited_seconds == 0
+
+    async def test_daemon_without_reports_uses_it(self) -> None:
+        directory = OneEndpointDirectory()
+        directory.loads.daemon_count = self.DAEMONS
+        dispatcher = Dispatcher(directory, "a", random.Random(1))
+        assert (await dispatcher.acquire(dispatch_request())).waited_seconds == 0
+
+    async def test_endpoint_that_most_peers_use_is_full(self) -> None:
+        dispatcher = self.dispatcher_with_reports(busy_peers=8)
+        with pytest.raises(RefusedError):
+            await dispatcher.acquire(dispatch_request(max_queue_seconds=0.05))
+
+    async def test_endpoint_that_reports_its_slots_as_taken_is_full(self) -> None:
+        dispatcher = self.dispatcher_with_reports(busy_peers=0)
+        dispatcher._relay_directory.loads.record_reported_load("desk-0", SLOTS * 2)
+        with pytest.raises(RefusedError):
+            await dispatcher.acquire(dispatch_request(max_queue_seconds=0.05))
