Keep a silent attempt until its replacement has begun

An attempt was given up for silence as soon as capacity and a retry were reserved for another one. A replacement that is refused, fails or is silent for longer then left nothing running, though the silent endpoint was sound and would have gone on: its caller saw a stall until the next attempt, or a cut at the deadline if the refusal had taken the last retry of the budget. Trying on after the refusal isn't enough for that last case, so the replacement is now sent beside the silent attempt.

It takes the place of the current attempt when its endpoint begins to respond, or when the current one fails. If the current one makes progress first, it goes on and the replacement is cancelled. Only one of the two is ever read: the current one until it is cancelled, so events of two runs aren't joined. The cancelled one counts as a run against maxAttempts, and its retry stays taken. A refused one leaves the current attempt as it was.

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_attempts.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_attempts.py
@@ -1,6 +1,6 @@
 """What the attempts of one request may still use: sends, retries of the budget and capacity.
 
-An attempt that may still succeed is given up only once another one is certain. Silence is no proof
+An attempt that may still succeed is given up only once another one has begun. Silence is no proof
 of a fault, so a request that cannot go on elsewhere waits for the endpoint that it has. A request
 that has begun and has no attempt left waits for what another one requires.
 """
@@ -82,6 +82,11 @@
             return True
         return not self.begun and self.sends >= MAX_SENDS
 
+    @property
+    def may_replace_twice(self) -> bool:
+        """Return whether two runs beside the current one are allowed."""
+        return self.possible_runs + 2 < self.route.max_attempts
+
     @property
     def excluded_ids(self) -> set[str]:
         """Return the ids of the endpoints at which the request failed."""
@@ -178,11 +183,23 @@
         lost = isinstance(error, StalledError | NotRunError) and bool(target.path)
         return target.loads.record_failure(error.endpoint, suspected_lost=lost)
 
+    @property
+    def pause_seconds(self) -> float:
+        """Return how long to wait before the next attempt after those that were refused."""
+        if not self._consecutive_refusals:
+            return 0.0
+        pause = REFUSAL_PAUSE_SECONDS * 2 ** (self._consecutive_refusals - 1)
+        return min(pause, MAX_REFUSAL_PAUSE_SECONDS)
+
+    def suspect_silent_engine(self, fault: MaybeRunError, target: Target) -> None:
+        """Let other requests avoid an engine that is silent while its attempt goes on."""
+        silent = isinstance(fault, StalledError) and bool(fault.endpoint)
+        if silent and not target.loads.get(fault.endpoint).suspect(time.monotonic()):
+            self.record_endpoint_failure(fault, target)
+
     async def _wait_for_target(self) -> Target:
         """Return the next target of a request that has begun, waiting for what it lacks."""
-        if self._consecutive_refusals:
-            pause = REFUSAL_PAUSE_SECONDS * 2 ** (self._consecutive_refusals - 1)
-            await asyncio.sleep(min(pause, MAX_REFUSAL_PAUSE_SECONDS))
+        await asyncio.sleep(self.pause_seconds)
         while True:
             if not self.responder.started:
                 await self.crash_tracker.admit(self.fingerprint)
@@ -256,10 +273,8 @@
         return ""
 
     def _record_kept(self, fault: MaybeRunError, target: Target, obstacle: str) -> None:
-        """Record that an attempt goes on; other requests avoid its silent engine meanwhile."""
-        silent = isinstance(fault, StalledError) and bool(fault.endpoint)
-        if silent and not target.loads.get(fault.endpoint).suspect(time.monotonic()):
-            self.record_endpoint_failure(fault, target)
+        """Record that an attempt goes on."""
+        self.suspect_silent_engine(fault, target)
         if obstacle == self.obstacle:
             return
         self.obstacle = obstacle
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_dispatcher.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_dispatcher.py
@@ -82,6 +82,7 @@
     reserved_at: float = 0.0  # on the monotonic clock
     sent_at: float = 0.0  # likewise
     may_have_received: bool = False  # sending the request to the endpoint has begun
+    not_run: bool = False  # the endpoint has refused it
     peer: str = ""  # that forwards the request to the endpoint; empty for a direct connection
     holds_retry: bool = False  # a retry of the budget was taken for it
     _reserved: bool = field(default=False)
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relayed_request.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relayed_request.py
@@ -47,6 +47,14 @@
 T = TypeVar("T")
 
 
+@dataclass(slots=True)
+class _Replacement:
+    """An attempt that was sent beside a silent one."""
+
+    target: Target
+    exchange: asyncio.Task[Response]
+
+
 @dataclass(eq=False)
 class RelayedRequest:
     """The attempts of one request; times are in seconds on the monotonic clock."""
@@ -72,6 +80,7 @@
         self._timeout: asyncio.Timeout | None = None
         self._end_refusal: RefusedError | None = None  # why the daemon ended the request early
         self._target: Target | None = None  # of an attempt that may still run the request
+        self._replacement: _Replacement | None = None  # of the current attempt, beside it
         self._began = False  # the endpoint of the current attempt has begun to respond
         self._fingerprint = fingerprint(
             self.team.name if self.team else "",
@@ -116,6 +125,8 @@
                 self.responder.failure_status = 502
             raise
         finally:
+            if self._replacement is not None:
+                await self._discard(self._replacement)
             self._attempts.close()
 
     def end(self, refusal: RefusedError) -> None:
@@ -140,27 +151,29 @@
 
     async def _attempt_until_answered(self) -> str:
         while True:
+            replacement, self._replacement = self._replacement, None
             try:
-                target = await self._attempts.start()
+                target = replacement.target if replacement else await self._start_attempt()
             except RefusedError as refusal:
                 return await self._end_refused(refusal)
             self._target = target
-            telemetry.place_wait_seconds.record(target.waited_seconds, {"pool": self.pool.name})
             try:
-                await self._run_attempt(target)
+                await self._run_attempt(target, replacement)
                 telemetry.attempts.add(1, {"result": "answered"})
                 return "served"
             except RefusedError as refusal:
-                if not self._attempts.begun:
+                if not (self._attempts.begun or self._replacement):
                     return await self._end_refused(refusal)
                 self._target = None
                 self._attempts.record_refused(refusal)
             except NotRunError as error:
                 self._target = None
-                self._record_failure(error, target)
+                self._splitter.discard_partial()
+                self._record_failure(error, target, self._began)
                 self._attempts.record_refused()
             except MaybeRunError as error:
-                self._record_failure(error, target)
+                self._splitter.discard_partial()
+                self._record_failure(error, target, self._began)
                 if isinstance(error, ResponseLostError) and not self._began:
                     await self._record_lost_response(target)
                 self._attempts.record_possible_run()
@@ -169,13 +182,18 @@
                     return await self._end_with_error(502, error.reason)
             finally:
                 self._attempts.finish(target)
-            if self._attempts.exhausted:
+            if self._attempts.exhausted and self._replacement is None:
                 self._attempts.obstacle = "last attempt"
                 reason = f"all {self._attempts.sends} attempts failed"
                 return await self._end_with_error(502, reason)
 
-    async def _run_attempt(self, target: Target) -> None:
-        self._began = False
+    async def _start_attempt(self) -> Target:
+        """Reserve and log the next attempt.
+
+        :raises RefusedError: something that the attempt requires is not available
+        """
+        target = await self._attempts.start()
+        telemetry.place_wait_seconds.record(target.waited_seconds, {"pool": self.pool.name})
         log_request(
             self.metadata,
             "attempt sent",
@@ -188,7 +206,9 @@
             waited_ms=int(target.waited_seconds * 1000),
             resume=self._splitter.last_id,
         )
-        is_stream = self.route.request_kind is RequestKind.STREAM
+        return target
+
+    def _send(self, target: Target) -> Coroutine[Any, Any, Response]:
         attempt = Attempt(
             self.request,
             self.metadata,
@@ -198,7 +218,12 @@
             self.team.name if self.team else "",
             self._splitter.last_id,
         )
-        exchange = self.endpoint_client.send(attempt)
+        return self.endpoint_client.send(attempt)
+
+    async def _run_attempt(self, target: Target, replacement: _Replacement | None) -> None:
+        self._began = False
+        exchange = replacement.exchange if replacement else self._send(target)
+        is_stream = self.route.request_kind is RequestKind.STREAM
         if is_stream:
             response = await self._await_progress(exchange, FIRST_EVENT_TIMEOUT_SECONDS, target)
         else:
@@ -279,7 +304,7 @@
         return None
 
     async def _await_response(
-        self, call: Coroutine[Any, Any, Response], target: Target
+        self, call: Coroutine[Any, Any, Response] | asyncio.Task[Response], target: Target
     ) -> Response:
         """Replace a slow attempt of a safe request early enough for a retry to be of use."""
         if self.route.request_kind is not RequestKind.SAFE:
@@ -294,7 +319,10 @@
         return await self._await_unless_replaced(call, limit, target, locate_fault)
 
     async def _await_progress(
-        self, operation: Coroutine[Any, Any, T], seconds: float, target: Target
+        self,
+        operation: Coroutine[Any, Any, T] | asyncio.Task[T],
+        seconds: float,
+        target: Target,
     ) -> T:
         """Await an operation of an attempt and locate the fault whenever it makes no progress."""
 
@@ -312,7 +340,7 @@
 
     async def _await_unless_replaced(
         self,
-        operation: Coroutine[Any, Any, T],
+        operation: Coroutine[Any, Any, T] | asyncio.Task[T],
         seconds: float,
         target: Target,
         locate_fault: Callable[[], Awaitable[MaybeRunError]],
@@ -321,18 +349,23 @@
 
         Silence alone does not end an attempt: its endpoint may still answer.
 
-        :raises MaybeRunError: the attempt is given up, and its replacement is secured
+        :raises MaybeRunError: the attempt is given up, and its replacement has begun
         """
-        task = asyncio.create_task(operation)
+        task = asyncio.ensure_future(operation)
+        wait_seconds = seconds
         try:
-            while not await self._ends_in_time(task, seconds, target):
+            while not await self._ends_in_time(task, wait_seconds, target):
+                wait_seconds = seconds
                 fault = await locate_fault()
                 if task.done():
                     break
                 if is_unexplained_stall(fault):
                     self._mark_links_congested(target)
                 if await self._attempts.secure_replacement(fault, target, task):
-                    raise fault
+                    if await self._begin_replacement(task):
+                        raise fault
+                    self._attempts.suspect_silent_engine(fault, target)
+                    wait_seconds = self._attempts.pause_seconds or seconds
             return task.result()
         except asyncio.CancelledError:
             _close_response(task)
@@ -345,6 +378,66 @@
                 # Mark the operation's error as retrieved; this method ends for another reason.
                 task.exception()
 
+    async def _begin_replacement(self, task: asyncio.Task[Any]) -> bool:
+        """Send the secured replacement; return whether it takes the place of the current attempt.
+
+        It does so once its endpoint has begun to respond, or is silent, too, and a third one may be
+        tried, or once the current attempt fails. If its endpoint refuses it, or the current attempt
+        makes progress first, it ends.
+        """
+        try:
+            target = await self._start_attempt()
+        except RefusedError as refusal:
+            self._attempts.record_refused(refusal)
+            return False
+        exchange = asyncio.create_task(self._send(target))
+        self._replacement = _Replacement(target, exchange)
+        takes_place = False
+        try:
+            await asyncio.wait(
+                [task, exchange],
+                timeout=FIRST_EVENT_TIMEOUT_SECONDS if self._attempts.may_replace_twice else None,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if task.done():
+                takes_place = task.exception() is not None
+                return False
+            takes_place = not exchange.done() or await self._is_usable(exchange, target)
+            return takes_place
+        finally:
+            if not takes_place:
+                await self._discard(self._replacement)
+
+    async def _is_usable(self, exchange: asyncio.Task[Response], target: Target) -> bool:
+        """Return whether a replacement has begun to respond; record its failure if it has not."""
+        try:
+            status = exchange.result().status
+            if status >= 500 or (self.responder.started and status >= 300):
+                raise MaybeRunError(target.endpoint.id, f"response status {status}")
+            return True
+        except RefusedError as refusal:
+            self._attempts.record_refused(refusal)
+        except NotRunError as error:
+            target.not_run = True
+            self._record_failure(error, target, began=False)
+            self._attempts.record_refused()
+        except MaybeRunError as error:
+            self._record_failure(error, target, began=False)
+            if isinstance(error, ResponseLostError):
+                await self._record_lost_response(target)
+        return False
+
+    async def _discard(self, replacement: _Replacement) -> None:
+        """Cancel an attempt that does not take the place of the current one."""
+        self._replacement = None
+        exchange, target = replacement.exchange, replacement.target
+        exchange.cancel()
+        await asyncio.wait([exchange])
+        _close_response(exchange)
+        if target.may_have_received and not target.not_run:
+            self._attempts.record_possible_run()
+        self._attempts.finish(target)
+
     async def _ends_in_time(self, task: asyncio.Task[T], seconds: float, target: Target) -> bool:
         """Return whether a task ends in time; wait less if it uses links that are being lost."""
         started_at = time.monotonic()
@@ -364,7 +457,8 @@
     @property
     def may_have_run(self) -> bool:
         """Return whether an endpoint may have run the request, or may be running it."""
-        in_progress = self._target is not None and self._target.may_have_received
+        targets = [self._target, self._replacement.target if self._replacement else None]
+        in_progress = any(target is not None and target.may_have_received for target in targets)
         return self._attempts.begun or in_progress
 
     def _mark_links_congested(self, target: Target) -> None:
@@ -374,8 +468,7 @@
                 self.metadata, "link congested", link=sorted(link), avoided_ms=int(seconds * 1000)
             )
 
-    def _record_failure(self, error: EndpointError, target: Target) -> None:
-        self._splitter.discard_partial()
+    def _record_failure(self, error: EndpointError, target: Target, began: bool) -> None:
         seconds = 0.0
         links_lost = self.reach_monitor.cut and not target.peer
         if isinstance(error, NoRoomError):
@@ -393,7 +486,7 @@
             endpoint=error.endpoint,
             reason=error.reason,
             not_run=isinstance(error, NotRunError),
-            began=self._began,
+            began=began,
             suspect_ms=int(seconds * 1000),
             peer=target.peer,
             links_lost=links_lost,
--- a/tests/stream_helpers.py
+++ b/tests/stream_helpers.py
@@ -11,6 +11,12 @@
 SLOW_EVENT_INTERVAL_SECONDS = 0.2
 
 
+async def change_routes(testbed: RelayTestBed, **fields: object) -> None:
+    routes = [{**route, **fields} for route in configuration()["routes"]]
+    testbed.store.put("config", "main", configuration(5, routes=routes))
+    await asyncio.sleep(0.2)
+
+
 async def read_all(connection: Http1Connection) -> bytes:
     body = b""
     while (data := await connection.read_body_part()) is not None:
--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -5,13 +5,14 @@
 from pathlib import Path
 
 import pytest
-from ragwortpaddle_standins.relay_platform import EVENT_STREAM, configuration
+from ragwortpaddle_standins.relay_platform import EVENT_STREAM
 from ragwortpaddled.errors import ReplyLostError
 from relay_fleet import RelayTestBed
 from stream_helpers import (
     EVENT_INTERVAL_SECONDS,
     NO_RETRIES,
     SLOW_EVENT_INTERVAL_SECONDS,
+    change_routes,
     consumed_retries,
     executions,
     first_engine,
@@ -33,12 +34,6 @@
         yield testbed
 
 
-async def change_routes(testbed: RelayTestBed, **fields: object) -> None:
-    routes = [{**route, **fields} for route in configuration()["routes"]]
-    testbed.store.put("config", "main", configuration(5, routes=routes))
-    await asyncio.sleep(0.2)
-
-
 class TestSilentEngine:
     async def test_stream_that_cannot_be_resumed_is_not_cut(
         self, testbed: RelayTestBed, change_configuration
