Test what a replacement beside a silent attempt rules out

A cancelled replacement counts as a run, and a request whose silent attempt is refused late isn't refused while its replacement may run it.

--- a/tests/test_begun_requests.py
+++ b/tests/test_begun_requests.py
@@ -369,6 +369,43 @@
         assert await read_all(connection) == EVENT_STREAM
         assert other.count_executions("a1") == 1
 
+    async def test_cancelled_replacement_counts_as_a_run(self, testbed: RelayTestBed) -> None:
+        connection = await start_stream(testbed, b"/ask/1")
+        silent = first_engine(testbed)
+        other = other_first_engine(testbed, silent)
+        other.fall_silent(1.6)
+        silent.fall_silent()
+        await wait_for_replacement(testbed, other)
+        loads = testbed.daemon._relay_directory.loads
+        await testbed.wait(lambda: not loads.own_running_by_id().get(other.id), "cancellation")
+        silent.fall_silent()
+        assert await read_all(connection) == EVENT_STREAM
+        assert consumed_retries(testbed) == 1
+        assert executions(testbed) == 1
+
+    async def test_request_is_not_refused_while_its_replacement_may_run_it(
+        self, testbed: RelayTestBed
+    ) -> None:
+        """Two attempts are refused, the third is refused late, and the fourth is under way."""
+        heads = first_engines(testbed)
+        for engine in heads:
+            engine.refusals_left = 1
+        asking = asyncio.create_task(testbed.ask(b"POST", b"/ask/1"))
+        await testbed.wait(lambda: all(engine.refusal_count for engine in heads), "refusals")
+        for engine in heads:
+            engine.fall_silent(2.4)
+        loads = testbed.daemon._relay_directory.loads
+        await testbed.wait(lambda: bool(loads.own_running_by_id()), "third attempt")
+        silent = next(engine for engine in heads if loads.own_running_by_id().get(engine.id))
+        other = other_first_engine(testbed, silent)
+        other.fall_silent(2.9)
+        silent.refusals_left = 1
+        await wait_for_replacement(testbed, other)
+        head, body = await asking
+        assert silent.refusal_count == 2
+        assert (head.status, body) == (200, EVENT_STREAM)
+        assert executions(testbed) == 1
+
     async def test_third_engine_is_tried_if_the_second_is_silent_too(
         self, testbed: RelayTestBed, caplog
     ) -> None:
