Lend retries between daemons, and keep a part for requests that have begun

Callers saw streams reset in the middle and requests refused with 503 ("retry budget exhausted") on one VM of 90, while the fleet used about half of the retries that the rule allows. Each daemon had an equal share of a bound on the whole fleet, a few retries, and spent it first come, first served.

A daemon that is short of retries now borrows from a few random peers. The lender counts a loan as used for the loan's lifetime plus a window; the borrower uses it until a lifetime after it sent its request. So no window sees more than the bound, and a lost reply only loses the loan. A quarter of a share is left to requests that an endpoint may have run. Requests without a retry wait up to 0.4 s for a loan, streams go on meanwhile. An older peer answers the new message with a refusal, which counts as nothing lent.

Three more faults of the same count: - Until the list of daemons was known, each daemon had the whole budget for itself, and of daemons that start together, the first ones had too much. Four daemons with a bound of 24 had 50.4 retries between them. Before the list is known there is only the ratio of the own requests; for 2 s after it, a daemon that sees n has 1 / (n (n + 1)) of the constant part. - A number of daemons that fell (a store restored without their entries) raised every share at once. It takes effect a window and a loan's lifetime later. - give_back removed the latest retry, whichever was returned, so a later one left the window too soon. try_acquire returns what was taken.

Evidence: on the code before, tests/test_retry_loans.py, without the keyword begun, failed in 5 of 6 tests that apply to it: the stream was reset, the request got 500, 8 s passed without the retries of the peers, and 50.4 > 24. The property test fails for each of six mutants: no debit, a debit without the window or without the lifetime, no expiry, expiry counted from the reply, a lower number in force at once.

Existing tests: test_pool_retry_budget.py sets the number of daemons, since the budget no longer assumes one, and passes begun; test_silent_endpoints.py reads the consumed retries at their new place. Both check as much as before.

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_attempts.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_attempts.py
@@ -24,13 +24,17 @@
     UnresponsiveError,
 )
 from ragwortpaddled.protocol import PathRoute, RelayPool, RelayTeam, RequestKind, RequestMetadata
-from ragwortpaddled.state import PoolRetryBudget, RequestFingerprint, RequestSize
+from ragwortpaddled.state import PoolRetryBudget, RequestFingerprint, RequestSize, Retry
 from ragwortpaddled.transport import Responder
 
 # Callers abandon a stream that has not started within 2 s, even if their deadline is later.
 STREAM_WAIT_SECONDS = 1.2
 MAX_WAIT_SHARE = 0.5  # of the time until the deadline; the rest is for processing
 MAX_SENDS = 4
+BUDGET_EXHAUSTED = "retry budget exhausted"
+# A round of loans takes a few exchanges between VMs; a refusal costs the caller more.
+LOAN_WAIT_SECONDS = 0.4
+LOAN_POLL_SECONDS = 0.05
 DEFAULT_RETRY_AFTER_SECONDS = 0.5
 
 
@@ -103,10 +107,12 @@
         The current attempt goes on meanwhile, and is kept if its task ends first.
         """
         obstacle = self._find_obstacle()
+        if obstacle == BUDGET_EXHAUSTED and await self._await_retry(begun=True, unless=task):
+            obstacle = self._find_obstacle()
         if not obstacle:
             replacement = await self._reserve_elsewhere(fault, target, task)
-            if replacement is not None and self._take_retry(task):
-                replacement.holds_retry = True
+            if replacement is not None and (retry := self._take_retry(task)):
+                replacement.retry = retry
                 self._replacement = replacement
                 return True
             if replacement is not None:
@@ -132,28 +138,52 @@
 
     async def _acquire(self) -> Target:
         is_retry = self._arrivals > 0
-        if is_retry and not self.retry_budget.available(self.pool.name):
+        if is_retry and not await self._await_retry(begun=self._begun):
             raise _budget_refusal()
         if not self.responder.started:
             await self.crash_tracker.admit(self.fingerprint)
         target = await self.dispatcher.acquire(self._dispatch_request())
-        if is_retry and not self.retry_budget.try_acquire(self.pool.name):
-            self.dispatcher.release(target)
-            raise _budget_refusal()
-        target.holds_retry = is_retry
+        if is_retry:
+            target.retry = self.retry_budget.try_acquire(self.pool.name, begun=self._begun)
+            if target.retry is None:
+                self.dispatcher.release(target)
+                raise _budget_refusal()
         return target
 
+    @property
+    def _begun(self) -> bool:
+        """Return whether an endpoint may have run the request."""
+        return self.responder.started or self.possible_runs > 0
+
+    async def _await_retry(self, *, begun: bool, unless: asyncio.Task[Any] | None = None) -> bool:
+        """Wait a short time for a loan if the budget allows no retry; return whether it does.
+
+        The wait ends if the task ``unless`` ends.
+        """
+        budget, pool = self.retry_budget, self.pool.name
+        if budget.available(pool, begun=begun):
+            return True
+        budget.report_shortage(pool, begun=begun)
+        wait_until = min(time.monotonic() + LOAN_WAIT_SECONDS, self.deadline)
+        while budget.can_borrow and time.monotonic() < wait_until:
+            await asyncio.sleep(LOAN_POLL_SECONDS)
+            if unless is not None and unless.done():
+                return False
+            if budget.available(pool, begun=begun):
+                return True
+        return False
+
     def _return_unused(self, target: Target) -> None:
         self.dispatcher.release(target)
-        if target.holds_retry:
-            target.holds_retry = False
-            self.retry_budget.give_back(self.pool.name)
+        if target.retry is not None:
+            self.retry_budget.give_back(target.retry)
+            target.retry = None
 
-    def _take_retry(self, task: asyncio.Task[Any] | None) -> bool:
+    def _take_retry(self, task: asyncio.Task[Any] | None) -> Retry | None:
         """Consume a retry, unless the current attempt has made progress or none is allowed."""
         if (task is not None and task.done()) or self._find_obstacle():
-            return False
-        return self.retry_budget.try_acquire(self.pool.name)
+            return None
+        return self.retry_budget.try_acquire(self.pool.name, begun=True)
 
     async def _reserve_elsewhere(
         self, fault: MaybeRunError, target: Target, task: asyncio.Task[Any] | None
@@ -182,8 +212,8 @@
             return "route is not retryable"
         if self.possible_runs + 1 >= self.route.max_attempts or self.sends >= MAX_SENDS:
             return "last attempt"
-        if not self.retry_budget.available(self.pool.name):
-            return "retry budget exhausted"
+        if not self.retry_budget.available(self.pool.name, begun=True):
+            return BUDGET_EXHAUSTED
         if not self.responder.started and self.crash_tracker.suspects(self.fingerprint):
             return "suspected of crashes"
         return ""
@@ -230,4 +260,4 @@
 
 
 def _budget_refusal() -> RefusedError:
-    return RefusedError(503, "retry budget exhausted", DEFAULT_RETRY_AFTER_SECONDS)
+    return RefusedError(503, BUDGET_EXHAUSTED, DEFAULT_RETRY_AFTER_SECONDS)
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_dispatcher.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_dispatcher.py
@@ -24,6 +24,7 @@
     Link,
     PathChoice,
     RequestSize,
+    Retry,
     UnreportedLoads,
     all_layers_available,
     choose_path,
@@ -71,7 +72,7 @@
     sent_at: float = 0.0  # likewise
     may_have_received: bool = False  # sending the request to the endpoint has begun
     peer: str = ""  # that forwards the request to the endpoint; empty for a direct connection
-    holds_retry: bool = False  # a retry of the budget was taken for it
+    retry: Retry | None = None  # of the budget, taken for it
     _reserved: bool = field(default=False)
 
     @property
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_peers.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relay_peers.py
@@ -21,6 +21,7 @@
 from ragwortpaddled.coordination._object_watcher import ObjectWatcher
 from ragwortpaddled.coordination._peer_links import PeerLinks
 from ragwortpaddled.coordination._relay_directory import RelayDirectory
+from ragwortpaddled.coordination._retry_loans import RetryLoans
 from ragwortpaddled.coordination._suspicion_log import SuspicionLog
 from ragwortpaddled.errors import (
     ObjectsError,
@@ -31,6 +32,7 @@
 )
 from ragwortpaddled.protocol import (
     ABSENT_VERSION,
+    BorrowRetries,
     PlatformClient,
     ProbeEndpoint,
     ProbeEndpointReply,
@@ -60,6 +62,8 @@
 JOIN_RETRY_SECONDS = 1.0
 REJOIN_SPREAD_SECONDS = 1.0  # daemons notice a restore of the store at the same moment
 DAEMON_WATCH_PAUSE_SECONDS = 1.0  # a joining daemon contacts the others itself
+# Daemons that start together register meanwhile, and the watch pauses once.
+DAEMON_LIST_SETTLE_SECONDS = 2.0
 
 logger = logging.getLogger(__name__)
 
@@ -108,6 +112,9 @@
         self._joined_era = 0
         self._rejoin_task: asyncio.Task[None] | None = None
         self._links = PeerLinks(self._keys)
+        self._retry_loans = RetryLoans(
+            retry_budget, self._links, self._reachable_addresses, name, random_source
+        )
         self._server: PeerServer | None = None
         self._address_by_name: dict[str, str] = {}
         self._unreachable: set[str] = set()
@@ -121,6 +128,7 @@
             watch_pause_seconds=DAEMON_WATCH_PAUSE_SECONDS,
         )
         self._exchange_tasks: set[asyncio.Task[None]] = set()
+        self._list_done_at: float | None = None
         self._last_round_at = 0.0
         self._round_timer: asyncio.TimerHandle | None = None
         crash_tracker.add_change_listener(self._gossip_soon)
@@ -155,6 +163,7 @@
                 immediate=self._layer_placer.holds_lease,
             )
             self._rejoin_after_restore()
+            self._update_retry_share()
             self._start_gossip_round()
 
     async def close(self) -> None:
@@ -163,6 +172,7 @@
             self._round_timer.cancel()
         if self._rejoin_task is not None:
             self._rejoin_task.cancel()
+        self._retry_loans.close()
         for task in self._exchange_tasks:
             task.cancel()
         if self._server is not None:
@@ -268,11 +278,27 @@
         self._update_daemon_counts()
 
     def _update_daemon_counts(self) -> None:
-        self._retry_budget.daemon_count = len(self._address_by_name) + 1
+        self._update_retry_share()
         reachable_count = len(set(self._address_by_name) - self._unreachable) + 1
         self._relay_directory.loads.daemon_count = reachable_count
         self._relay_directory.request_limits.daemon_count = reachable_count
 
+    def _update_retry_share(self) -> None:
+        """Divide the retry budget by the number of daemons, once the list of them is known."""
+        if not self._object_watcher.initial_list_done.is_set():
+            return
+        if self._list_done_at is None:
+            self._list_done_at = time.monotonic()
+        settled = time.monotonic() - self._list_done_at >= DAEMON_LIST_SETTLE_SECONDS
+        self._retry_budget.set_daemon_count(len(self._address_by_name) + 1, settled=settled)
+
+    def _reachable_addresses(self) -> dict[str, str]:
+        return {
+            name: address
+            for name, address in self._address_by_name.items()
+            if name not in self._unreachable
+        }
+
     def _gossip_soon(self) -> None:
         """Start a round at once, or as soon as ``MIN_ROUND_INTERVAL_SECONDS`` allow it."""
         if self._round_timer is not None:
@@ -388,6 +414,8 @@
                 message.address, message.unreachable_seconds
             )
             return encode_message(ProbeEndpointReply(accepts))
+        if isinstance(message, BorrowRetries):
+            return encode_message(self._retry_loans.lend(message))
         if not isinstance(message, RelayNews):
             raise PeerRefusedError(
                 f"unexpected message type {type(message).__name__}, expected RelayNews"
--- a/packages/ragwortpaddled/src/ragwortpaddled/protocol/__init__.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/__init__.py
@@ -34,6 +34,7 @@
 )
 from ragwortpaddled.protocol._peers import (
     Acknowledged,
+    BorrowRetries,
     ChangesReply,
     CommitChanges,
     CrashReport,
@@ -49,6 +50,7 @@
     RelayNews,
     RelayNewsReply,
     ReleaseReply,
+    RetriesLent,
     SummaryReply,
     decode_message,
     encode_message,
@@ -148,6 +150,7 @@
     "AcceleratorKind",
     "Acknowledged",
     "ActiveRelease",
+    "BorrowRetries",
     "Change",
     "ChangeResult",
     "ChangeStatus",
@@ -214,6 +217,7 @@
     "RequestKind",
     "RequestMetadata",
     "ResponseMetadata",
+    "RetriesLent",
     "Revision",
     "SequenceRef",
     "ServiceCall",
--- a/packages/ragwortpaddled/src/ragwortpaddled/protocol/_peers.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/_peers.py
@@ -139,6 +139,24 @@
     accepts: bool | None
 
 
+class BorrowRetries(msgspec.Struct, frozen=True, tag="borrow_retries"):
+    """Asks for retries of the receiver's share of a pool's retry budget.
+
+    ``begun`` limits them to requests that an endpoint may have run.
+    """
+
+    name: str
+    pool: str
+    count: Count
+    begun: bool = False
+
+
+class RetriesLent(msgspec.Struct, frozen=True, tag="retries_lent"):
+    """The number of retries lent, which the responder counts as used from now on."""
+
+    count: Count
+
+
 class Acknowledged(msgspec.Struct, frozen=True, tag="acknowledged"):
     """Confirms that the message was processed."""
 
@@ -158,6 +176,8 @@
     | RelayNewsReply
     | ProbeEndpoint
     | ProbeEndpointReply
+    | BorrowRetries
+    | RetriesLent
     | Acknowledged
 )
 
--- a/packages/ragwortpaddled/src/ragwortpaddled/state/__init__.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/state/__init__.py
@@ -62,7 +62,12 @@
     repair_chains,
     token_capacity,
 )
-from ragwortpaddled.state._pool_retry_budget import PoolRetryBudget, RetryBudgetBounds
+from ragwortpaddled.state._pool_retry_budget import (
+    LOAN_SECONDS,
+    PoolRetryBudget,
+    Retry,
+    RetryBudgetBounds,
+)
 from ragwortpaddled.state._release import (
     HISTORY_PREFIX,
     OBJECTS_PREFIX,
@@ -91,6 +96,7 @@
     "EVIDENCE_DELAY_SECONDS",
     "HISTORY_PREFIX",
     "HOLD_SECONDS",
+    "LOAN_SECONDS",
     "MAX_HEAD_BYTES",
     "MAX_KEY_BYTES",
     "MAX_RECORDED_BODY_BYTES",
@@ -133,6 +139,7 @@
     "RequestLimits",
     "RequestSize",
     "ResponseTimes",
+    "Retry",
     "RetryBudgetBounds",
     "Route",
     "RouteTable",
--- a/packages/ragwortpaddled/src/ragwortpaddled/telemetry.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/telemetry.py
@@ -75,6 +75,9 @@
 attempts = _meter.create_counter(
     "ragwortpaddle_attempts", description="Attempts at endpoints by result"
 )
+retry_loans = _meter.create_counter(
+    "ragwortpaddle_retry_loans", description="Retries borrowed from peers and lent to them, by side"
+)
 forwarded_requests = _meter.create_counter(
     "ragwortpaddle_forwarded_requests", description="Requests forwarded for peers by result"
 )
--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -207,7 +207,7 @@
 
 
 def consumed_retries(testbed: RelayTestBed) -> int:
-    return len(testbed.daemon._peers._retry_budget._retries_by_pool["model"])
+    return len(testbed.daemon._peers._retry_budget._use("model").retries)
 
 
 class TestSlowSafeRequest:
