Forward attempts over new connections only

Cause: the peer sent the attempt over a connection that it had open, which had fallen silent with the rest. Only requests that must not be repeated asked for a new one.

Change: every forwarded attempt asks the peer for a new connection. It opens within milliseconds, or shows within the time-out for connecting that the peer cannot forward, with nothing sent, so the next peer is tried and no run is counted.

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_endpoint_client.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_endpoint_client.py
@@ -181,7 +181,8 @@
     async def _send_through_peer(self, attempt: Attempt) -> Response:
         endpoint = attempt.target.endpoint
         self.refuse_without_links()
-        added_headers = forwarding_headers(self._keys, endpoint.address, fresh=attempt.once)
+        # The links of a peer may be lost, too: a connection that it has open may be silent.
+        added_headers = forwarding_headers(self._keys, endpoint.address, fresh=True)
         for peer in self._peers.candidates()[:MAX_PEERS_TRIED]:
             try:
                 connection = await self._peer_connections.acquire(peer.address, fresh=attempt.once)
--- a/tests/test_stranded_vm.py
+++ b/tests/test_stranded_vm.py
@@ -371,6 +371,23 @@
             assert not fleet.unserved_since(daemon, judged_from)
         fleet.check_runs()
 
+    async def test_peer_that_does_not_know_its_own_loss_does_not_hold_a_request_up(
+        self, fleet: StrandedFleet
+    ) -> None:
+        """It sent the request over a connection that had fallen silent, and so never answered."""
+        cut_daemon, unaware_peer, _ = fleet.daemons
+        peers = cut_daemon._forwarding_peers
+        await fleet.testbed.wait(lambda: len(peers.candidates()) == 2, "peers that forward")
+        await asyncio.gather(*(fleet.ask(unaware_peer, "stream") for _ in range(16)))
+        fleet.cut(Way.HANG, cut_daemon, unaware_peer)
+        cut_daemon._reach_monitor._reach.cut = True
+        peers._random = FirstNames()
+        unaware_cut = fleet.cut_of(unaware_peer)
+        unopened_before = unaware_cut.unopened_count
+        assert (await fleet.ask(cut_daemon, "stream")).served
+        assert unaware_cut.unopened_count > unopened_before
+        assert not any(stream._unsent for stream in unaware_cut._streams)
+
 
 class TestAllDaemons:
     @ALL_WAYS
