Hold new requests back where unreported load leaves no room

A request that has begun is to be served before new ones. On a fleet of 90 daemons it was not: the search for its path counts a random estimate of the requests that other daemons have not reported, and the question whether it holds the queue up did not. A request without room by the estimate "had room", so it held nothing up, and new requests behind it took the next free path.

The question now uses the estimate too, and is not asked if the request excludes no endpoint, since the search has answered it.

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_dispatcher.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_dispatcher.py
@@ -272,12 +272,14 @@
             return True
         if time.monotonic() >= request.holds_queue_until:
             return False
+        if not request.excluded_ids:
+            return True
         return not self._has_room(replace(request, excluded_ids=frozenset()))
 
     def _has_room(self, request: DispatchRequest) -> bool:
         if request.pool.model is None:
             return self._try_acquire_endpoint(request) is not None
-        return bool(self._choose_path(request).hops)
+        return bool(self._choose_path(request, self._sample_unreported(request.pool)).hops)
 
     def _try_acquire(self, request: DispatchRequest) -> Target | None:
         choose = (
@@ -293,17 +295,7 @@
 
     def _try_acquire_path(self, request: DispatchRequest) -> Target | None:
         assert request.pool.model is not None
-        pool = request.pool
-        choice = self._choose_path(
-            request,
-            self._unreported_loads.sample(
-                pool.name,
-                request.pool.model,
-                self._relay_directory.endpoints_in_pool(pool.name),
-                self._relay_directory.loads,
-                self._relay_directory.links,
-            ),
-        )
+        choice = self._choose_path(request, self._sample_unreported(request.pool))
         if not choice.hops:
             return None
         entry = self._relay_directory.entry_by_id[choice.hops[0].endpoint_id]
@@ -321,6 +313,16 @@
             choice.considered_count,
         )
 
+    def _sample_unreported(self, pool: RelayPool) -> Mapping[str, float]:
+        assert pool.model is not None
+        return self._unreported_loads.sample(
+            pool.name,
+            pool.model,
+            self._relay_directory.endpoints_in_pool(pool.name),
+            self._relay_directory.loads,
+            self._relay_directory.links,
+        )
+
     def _choose_path(
         self, request: DispatchRequest, unreported_by_id: Mapping[str, float] = NO_UNREPORTED_LOAD
     ) -> PathChoice:
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -10,8 +10,11 @@
 from ragwortpaddled.errors import RefusedError
 from ragwortpaddled.protocol import EndpointEntry, RelayPool
 from ragwortpaddled.state import EndpointLoads, LinkLoads, RequestLimits, RequestSize
+from test_layer_paths import CHAINS, DEMAND
+from test_placement import MODEL
 
 POOL = RelayPool("desk", 100, None)
+MODEL_POOL = RelayPool("model", 100, MODEL)
 SLOTS = 2
 
 
@@ -54,6 +57,14 @@
     return dispatch_request(9, begun=True, holds_queue_until=holds_queue_until, **fields)
 
 
+class ModelDirectory(OneEndpointDirectory):
+    """A directory with the engines of two chains."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.entry_by_id = {entry.id: entry for entry in CHAINS}
+
+
 @pytest.fixture
 def dispatcher() -> Dispatcher:
     return Dispatcher(OneEndpointDirectory(), "a", random.Random(1))
@@ -173,6 +184,23 @@
         dispatcher.release(held[0])
         await waiting
 
+    async def test_hold_up_new_requests_where_unreported_requests_leave_no_room(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """On a fleet of many daemons, new requests took each path that seemed to have room."""
+        dispatcher = Dispatcher(ModelDirectory(), "a", random.Random(1))
+        full = {entry.id: 1e6 for entry in CHAINS}
+        monkeypatch.setattr(dispatcher._unreported_loads, "sample", lambda *_: full)
+        for excluded_ids in (frozenset(), frozenset({"x2"})):
+            begun = replace(
+                begun_request(excluded_ids=excluded_ids), pool=MODEL_POOL, demand=DEMAND
+            )
+            waiting = asyncio.create_task(dispatcher.acquire(begun))
+            await asyncio.sleep(0)
+            assert dispatcher._waiters_ahead(replace(begun, begun=False))
+            waiting.cancel()
+            await asyncio.wait([waiting])
+
     async def test_are_all_served_though_some_are_tried_at_a_time(
         self, dispatcher: Dispatcher
     ) -> None:
