Try every request that has begun in turn, whatever its priority

Of the queued requests that have begun and exclude the endpoints with room, two are tried at a time. The others of the same priority came next, but those of a less urgent priority never did: behind two urgent ones that no endpoint could take, a less urgent one was not tried while it was queued, and new requests got the capacity that it could have used. It was only tried when its round of 0.5 s began anew, until its deadline.

Those that were not tried now come first at the next dispatch, and one that holds the queue up and has not been tried holds it until then, for its limited time.

The new test failed on the code before, and the 16 tests of test_dispatcher.py passed on this one (one run each).

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_dispatcher.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_dispatcher.py
@@ -119,6 +119,7 @@
 @dataclass(order=True, slots=True)
 class _Waiter:
     is_new: bool
+    tried: bool  # since the other requests that have begun were
     priority: int
     sequence_number: int
     request: DispatchRequest = field(compare=False)
@@ -169,6 +170,7 @@
             raise self._refusal(request, wait_seconds)
         waiter = _Waiter(
             not request.begun,
+            False,
             request.priority,
             next(self._sequence_numbers),
             request,
@@ -247,11 +249,15 @@
                 waiter.holds_queue = self._holds_queue(waiter.request)
                 if waiter.holds_queue:
                     break
-                heapq.heappop(waiters)
+                waiter.tried = True
                 waiter.sequence_number = next(self._sequence_numbers)
-            else:
-                heapq.heappop(waiters)
-            passed.append(waiter)
+            elif waiter.holds_queue and time.monotonic() < waiter.request.holds_queue_until:
+                break  # it is tried next time
+            passed.append(heapq.heappop(waiters))
+        all_passed = not (waiters and waiters[0].request.begun)
+        if all_passed and all(waiter.tried for waiter in passed):
+            for waiter in passed:
+                waiter.tried = False
         for waiter in passed:
             heapq.heappush(waiters, waiter)
 
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -216,6 +216,27 @@
         assert (await waiting).endpoint.id == "desk-0"
         await asyncio.gather(*blocked, return_exceptions=True)
 
+    async def test_are_served_though_more_urgent_ones_exclude_the_endpoint_that_gets_room(
+        self, dispatcher: Dispatcher
+    ) -> None:
+        """Only the more urgent ones were tried, and a new request got the slot."""
+        held = await fill(dispatcher)
+        excluding = replace(begun_request(excluded_ids=frozenset({"desk-0"})), priority=0)
+        blocked = [asyncio.create_task(dispatcher.acquire(excluding)) for _ in range(5)]
+        await asyncio.sleep(0)
+        waiting = asyncio.create_task(dispatcher.acquire(begun_request()))
+        await asyncio.sleep(0)
+        new = asyncio.create_task(dispatcher.acquire(dispatch_request(0, 15.0)))
+        await asyncio.sleep(0)
+        dispatcher.release(held[0])
+        for _ in blocked:
+            dispatcher.dispatch_waiting()
+        assert (await waiting).endpoint.id == "desk-0"
+        assert not new.done()
+        dispatcher.release(held[1])
+        await new
+        await asyncio.gather(*blocked, return_exceptions=True)
+
     async def test_use_an_excluded_endpoint_only_as_a_last_resort(
         self, dispatcher: Dispatcher
     ) -> None:
