Don't send a request that has begun over an engine that counts as lost

Where no other path has room, a request that has begun may go back to engines that are avoided for a moment, 0.5 s after its last run. That included engines that two daemons, or this VM and a peer, could not reach for 1.5 s. An attempt over one of them stalls and takes a run; with the usual two runs it is the last one, so that the response is cut although another engine loads the layers meanwhile.

The last resort now leaves out engines that count as lost. Those that were silent, full or unreachable for a moment may be used as before.

The new test failed in both cases on the code before and passed on this one; so did the 65 cases of test_begun_requests.py and test_silent_endpoints.py (one run each).

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_dispatcher.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_dispatcher.py
@@ -52,7 +52,7 @@
     until ``holds_queue_until``.
 
     ``last_resort_excluded_ids``: if no other endpoint has room, all but these may be used, suspects
-    too; None: no last resort.
+    too, except engines that count as lost; None: no last resort.
     """
 
     pool: RelayPool
@@ -360,7 +360,10 @@
         if not choice.hops and len(confirmed) < len(entries):
             choice = choose(entries)
         if not choice.hops and request.last_resort_excluded_ids is not None:
-            choice = choose(entries, request.last_resort_excluded_ids, include_suspects=True)
+            loads = self._relay_directory.loads
+            lost_ids = loads.confirmed_lost_ids().union(loads.own_suspect_ids())
+            excluded_ids = request.last_resort_excluded_ids | lost_ids
+            choice = choose(entries, excluded_ids, include_suspects=True)
         return choice
 
     def _try_acquire_endpoint(self, request: DispatchRequest) -> Target | None:
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -257,6 +257,30 @@
             )
 
 
+    @pytest.mark.parametrize("peers", [["p", "q"], []])
+    async def test_do_not_use_an_engine_that_counts_as_lost_as_a_last_resort(
+        self, peers: list[str]
+    ) -> None:
+        """It took the last run that the route allows, while another engine loaded the layers."""
+        directory = ModelDirectory()
+        loads = directory.loads
+        for entry in CHAINS:
+            loads.record_unreachable(entry.id)
+        if not peers:
+            loads.record_lost("x2")
+        for peer in peers:
+            loads.update_peer(peer, {}, ["x2"])
+        dispatcher = Dispatcher(directory, "a", random.Random(1))
+        begun = begun_request(max_queue_seconds=0.0, last_resort_excluded_ids=frozenset())
+        begun = replace(begun, pool=MODEL_POOL, demand=DEMAND)
+        target = await dispatcher.acquire(begun)
+        assert "x2" not in target.endpoint_ids
+        for entry_id in [name for name in directory.entry_by_id if name.startswith("y")]:
+            del directory.entry_by_id[entry_id]
+        with pytest.raises(RefusedError):
+            await dispatcher.acquire(begun)
+
+
 class TestRefusal:
     async def test_refused_after_the_wait_with_a_retry_time(self, dispatcher: Dispatcher) -> None:
         await fill(dispatcher)
