--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_dispatcher.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_dispatcher.py
@@ -82,6 +82,7 @@
     reserved_at: float = 0.0  # on the monotonic clock
     sent_at: float = 0.0  # likewise
     may_have_received: bool = False  # sending the request to the endpoint has begun
+    not_run: bool = False  # the endpoint has refused it
     peer: str = ""  # that forwards the request to the endpoint; empty for a direct connection
     holds_retry: bool = False  # a retry of the budget was taken for it
     _reserved: bool = field(default=False)
@@ -385,8 +386,8 @@
         ]
         confirmed = [e for e in usable if not self._relay_directory.may_have_left(e)] or usable
         healthy = [e for e in confirmed if not loads.get(e.id).suspect(now)] or confirmed
-        unreported = loads.estimate_unreported_requests(request.pool.name) / max(1, len(healthy))
-        free = [e for e in healthy if loads.get(e.id).running(now) + unreported < e.slots]
+        # An endpoint queues what it has no slot for, so it is avoided only if very likely full.
+        free = [e for e in healthy if loads.min_running(e.id) < e.slots]
         if not free:
             return None
 
