--- a/tests/stream_helpers.py
+++ b/tests/stream_helpers.py
@@ -62,4 +62,4 @@
 
 
 def consumed_retries(testbed: RelayTestBed) -> int:
-    return len(testbed.daemon._peers._retry_budget._retries_by_pool["model"])
+    return len(testbed.daemon._peers._retry_budget._use("model").retries)
