Release a replacement's reservations if its request is cancelled twice

A request that ended at its deadline while a replacement was under way beside its silent attempt waits a loop turn or two for the replacement's end. If its caller left in that moment, which callers with the same deadline do, the second cancellation ended the wait, and neither the capacity nor the retry of the replacement was given back: the daemon counted the request at each engine of the path for the rest of its life, and told its peers so.

The release no longer depends on the wait.

All four cases of the new test failed on the code before and passed on this one, as did the other cases of silent endpoints in test_begun_requests.py (24 passed, one run).

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relayed_request.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relayed_request.py
@@ -432,11 +432,13 @@
         self._replacement = None
         exchange, target = replacement.exchange, replacement.target
         exchange.cancel()
-        await asyncio.wait([exchange])
-        _close_response(exchange)
-        if target.may_have_received and not target.not_run:
-            self._attempts.record_possible_run()
-        self._attempts.finish(target)
+        try:
+            await asyncio.wait([exchange])
+        finally:  # also if the caller leaves while the request is ended for another reason
+            _close_response(exchange)
+            if target.may_have_received and not target.not_run:
+                self._attempts.record_possible_run()
+            self._attempts.finish(target)
 
     async def _ends_in_time(self, task: asyncio.Task[T], seconds: float, target: Target) -> bool:
         """Return whether a task ends in time; wait less if it uses links that are being lost."""
--- a/tests/test_begun_requests.py
+++ b/tests/test_begun_requests.py
@@ -330,6 +330,28 @@
         loads = testbed.daemon._relay_directory.loads
         await testbed.wait(lambda: not loads.own_running_by_id(), "end of the reservations")
 
+    @pytest.mark.parametrize("loop_turns", [0, 1, 2, 3])
+    async def test_reservations_end_if_the_caller_leaves_at_the_deadline(
+        self, testbed: RelayTestBed, loop_turns: int
+    ) -> None:
+        """The second cancellation ended the first one's wait, and both engines stayed reserved."""
+        connection = await start_stream(testbed, b"/ask/1")
+        silent = first_engine(testbed)
+        other = other_first_engine(testbed, silent)
+        other.fall_silent(6.0)
+        silent.fall_silent(6.0)
+        await wait_for_replacement(testbed, other)
+        (request,) = testbed.daemon._relay._running
+        (server,) = (c for c in testbed.daemon._server._task_by_connection if not c.idle)
+        request._timeout.reschedule(asyncio.get_running_loop().time())
+        for _ in range(loop_turns):
+            await asyncio.sleep(0)
+        if server._stream.on_disconnect is not None:
+            server._stream.on_disconnect()
+        connection.close()
+        loads = testbed.daemon._relay_directory.loads
+        await testbed.wait(lambda: not loads.own_running_by_id(), "end of the reservations")
+
     async def test_stream_goes_on_where_it_is_if_its_replacement_is_reset(
         self, testbed: RelayTestBed, change_configuration
     ) -> None:
