Ask for one loan for each request that waits for a retry

A request that has begun and waits for the retry budget looked again every 0.05 to 0.45 s, and each look counted as one more retry that this daemon lacks.

A request now reports its shortage again only after a loan for the first report would have expired.

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_attempts.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_attempts.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 import time
 from dataclasses import dataclass, field, replace
 from typing import Any
@@ -26,7 +27,13 @@
     UnresponsiveError,
 )
 from ragwortpaddled.protocol import PathRoute, RelayPool, RelayTeam, RequestKind, RequestMetadata
-from ragwortpaddled.state import PoolRetryBudget, RequestFingerprint, RequestSize, Retry
+from ragwortpaddled.state import (
+    LOAN_SECONDS,
+    PoolRetryBudget,
+    RequestFingerprint,
+    RequestSize,
+    Retry,
+)
 from ragwortpaddled.transport import Responder
 
 # Callers abandon a stream that has not started within 2 s, even if their deadline is later.
@@ -73,6 +80,7 @@
     _last_run_ended_at: float = 0.0  # of the runs that may have taken place
     _arrivals: int = 0  # attempts that an endpoint may have received
     _replacement: Target | None = None
+    _shortage_reported_at: dict[bool, float] = field(default_factory=dict)  # by begun
 
     @property
     def begun(self) -> bool:
@@ -255,7 +263,7 @@
         budget, pool = self.retry_budget, self.pool.name
         if budget.available(pool, begun=begun):
             return True
-        budget.report_shortage(pool, begun=begun)
+        self._report_shortage(begun=begun)
         wait_until = min(time.monotonic() + LOAN_WAIT_SECONDS, self.deadline)
         while budget.can_borrow and time.monotonic() < wait_until:
             await asyncio.sleep(LOAN_POLL_SECONDS)
@@ -265,6 +273,13 @@
                 return True
         return False
 
+    def _report_shortage(self, *, begun: bool) -> None:
+        """Ask for one retry until a loan of it would expire, however often it is missed."""
+        now = time.monotonic()
+        if now - self._shortage_reported_at.get(begun, -math.inf) >= LOAN_SECONDS:
+            self._shortage_reported_at[begun] = now
+            self.retry_budget.report_shortage(self.pool.name, begun=begun)
+
     def _return_unused(self, target: Target) -> None:
         self.dispatcher.release(target)
         if target.retry is not None:
--- a/tests/test_begun_requests.py
+++ b/tests/test_begun_requests.py
@@ -91,6 +91,22 @@
         (deferred,) = logged(caplog, "attempt deferred")
         assert deferred["obstacle"] == "retry budget exhausted"
 
+    async def test_asks_for_one_loan_while_it_waits_for_the_budget(
+        self, testbed_without_retries: RelayTestBed, caplog
+    ) -> None:
+        """Each of its polls asked for another one, and what it did not use was lost to others."""
+        testbed = testbed_without_retries
+        shortages: list[tuple[str, bool]] = []
+        testbed.daemon._peers._retry_budget.add_shortage_listener(
+            lambda pool, begun: shortages.append((pool, begun))
+        )
+        connection = await start_stream(testbed, b"/ask/1")
+        first_engine(testbed).fault = "torn"
+        await wait_until_deferred(testbed, caplog)
+        await asyncio.sleep(OBSTACLE_SECONDS)
+        assert shortages == [("model", True)]
+        connection.close()
+
     async def test_goes_on_once_a_path_has_room(
         self, testbed: RelayTestBed, change_configuration, caplog
     ) -> None:
