--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_dispatcher.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_dispatcher.py
@@ -53,7 +53,7 @@
     until ``holds_queue_until``.
 
     ``last_resort_excluded_ids``: if no other endpoint has room, all but these may be used, suspects
-    too; None: no last resort.
+    too, except engines that count as lost; None: no last resort.
     """
 
     pool: RelayPool
@@ -121,6 +121,7 @@
 @dataclass(order=True, slots=True)
 class _Waiter:
     is_new: bool
+    tried: bool  # since the other requests that have begun were
     priority: int
     sequence_number: int
     request: DispatchRequest = field(compare=False)
@@ -171,6 +172,7 @@
             raise self._refusal(request, wait_seconds)
         waiter = _Waiter(
             not request.begun,
+            False,
             request.priority,
             next(self._sequence_numbers),
             request,
@@ -249,11 +251,15 @@
                 waiter.holds_queue = self._holds_queue(waiter.request)
                 if waiter.holds_queue:
                     break
-                heapq.heappop(waiters)
+                waiter.tried = True
                 waiter.sequence_number = next(self._sequence_numbers)
-            else:
-                heapq.heappop(waiters)
-            passed.append(waiter)
+            elif waiter.holds_queue and time.monotonic() < waiter.request.holds_queue_until:
+                break  # it is tried next time
+            passed.append(heapq.heappop(waiters))
+        all_passed = not (waiters and waiters[0].request.begun)
+        if all_passed and all(waiter.tried for waiter in passed):
+            for waiter in passed:
+                waiter.tried = False
         for waiter in passed:
             heapq.heappush(waiters, waiter)
 
@@ -274,12 +280,14 @@
             return True
         if time.monotonic() >= request.holds_queue_until:
             return False
+        if not request.excluded_ids:
+            return True
         return not self._has_room(replace(request, excluded_ids=frozenset()))
 
     def _has_room(self, request: DispatchRequest) -> bool:
         if request.pool.model is None:
             return self._try_acquire_endpoint(request) is not None
-        return bool(self._choose_path(request).hops)
+        return bool(self._choose_path(request, self._sample_unreported(request.pool)).hops)
 
     def _try_acquire(self, request: DispatchRequest) -> Target | None:
         choose = (
@@ -295,17 +303,7 @@
 
     def _try_acquire_path(self, request: DispatchRequest) -> Target | None:
         assert request.pool.model is not None
-        pool = request.pool
-        choice = self._choose_path(
-            request,
-            self._unreported_loads.sample(
-                pool.name,
-                request.pool.model,
-                self._relay_directory.endpoints_in_pool(pool.name),
-                self._relay_directory.loads,
-                self._relay_directory.links,
-            ),
-        )
+        choice = self._choose_path(request, self._sample_unreported(request.pool))
         if not choice.hops:
             return None
         entry = self._relay_directory.entry_by_id[choice.hops[0].endpoint_id]
@@ -323,6 +321,16 @@
             choice.considered_count,
         )
 
+    def _sample_unreported(self, pool: RelayPool) -> Mapping[str, float]:
+        assert pool.model is not None
+        return self._unreported_loads.sample(
+            pool.name,
+            pool.model,
+            self._relay_directory.endpoints_in_pool(pool.name),
+            self._relay_directory.loads,
+            self._relay_directory.links,
+        )
+
     def _choose_path(
         self, request: DispatchRequest, unreported_by_id: Mapping[str, float] = NO_UNREPORTED_LOAD
     ) -> PathChoice:
@@ -354,7 +362,10 @@
         if not choice.hops and len(confirmed) < len(entries):
             choice = choose(entries)
         if not choice.hops and request.last_resort_excluded_ids is not None:
-            choice = choose(entries, request.last_resort_excluded_ids, include_suspects=True)
+            loads = self._relay_directory.loads
+            lost_ids = loads.confirmed_lost_ids().union(loads.own_suspect_ids())
+            excluded_ids = request.last_resort_excluded_ids | lost_ids
+            choice = choose(entries, excluded_ids, include_suspects=True)
         return choice
 
     def _try_acquire_endpoint(self, request: DispatchRequest) -> Target | None:
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -10,8 +10,11 @@
 from ragwortpaddled.errors import RefusedError
 from ragwortpaddled.protocol import EndpointEntry, RelayPool
 from ragwortpaddled.state import EndpointLoads, LinkLoads, RequestLimits, RequestSize
+from test_layer_paths import CHAINS, DEMAND
+from test_placement import MODEL
 
 POOL = RelayPool("desk", 100, None)
+MODEL_POOL = RelayPool("model", 100, MODEL)
 SLOTS = 2
 
 
@@ -54,6 +57,14 @@
     return dispatch_request(9, begun=True, holds_queue_until=holds_queue_until, **fields)
 
 
+class ModelDirectory(OneEndpointDirectory):
+    """A directory with the engines of two chains."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.entry_by_id = {entry.id: entry for entry in CHAINS}
+
+
 @pytest.fixture
 def dispatcher() -> Dispatcher:
     return Dispatcher(OneEndpointDirectory(), "a", random.Random(1))
@@ -173,6 +184,23 @@
         dispatcher.release(held[0])
         await waiting
 
+    async def test_hold_up_new_requests_where_unreported_requests_leave_no_room(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """On a fleet of many daemons, new requests took each path that seemed to have room."""
+        dispatcher = Dispatcher(ModelDirectory(), "a", random.Random(1))
+        full = {entry.id: 1e6 for entry in CHAINS}
+        monkeypatch.setattr(dispatcher._unreported_loads, "sample", lambda *_: full)
+        for excluded_ids in (frozenset(), frozenset({"x2"})):
+            begun = replace(
+                begun_request(excluded_ids=excluded_ids), pool=MODEL_POOL, demand=DEMAND
+            )
+            waiting = asyncio.create_task(dispatcher.acquire(begun))
+            await asyncio.sleep(0)
+            assert dispatcher._waiters_ahead(replace(begun, begun=False))
+            waiting.cancel()
+            await asyncio.wait([waiting])
+
     async def test_are_all_served_though_some_are_tried_at_a_time(
         self, dispatcher: Dispatcher
     ) -> None:
@@ -188,6 +216,27 @@
         assert (await waiting).endpoint.id == "desk-0"
         await asyncio.gather(*blocked, return_exceptions=True)
 
+    async def test_are_served_though_more_urgent_ones_exclude_the_endpoint_that_gets_room(
+        self, dispatcher: Dispatcher
+    ) -> None:
+        """Only the more urgent ones were tried, and a new request got the slot."""
+        held = await fill(dispatcher)
+        excluding = replace(begun_request(excluded_ids=frozenset({"desk-0"})), priority=0)
+        blocked = [asyncio.create_task(dispatcher.acquire(excluding)) for _ in range(5)]
+        await asyncio.sleep(0)
+        waiting = asyncio.create_task(dispatcher.acquire(begun_request()))
+        await asyncio.sleep(0)
+        new = asyncio.create_task(dispatcher.acquire(dispatch_request(0, 15.0)))
+        await asyncio.sleep(0)
+        dispatcher.release(held[0])
+        for _ in blocked:
+            dispatcher.dispatch_waiting()
+        assert (await waiting).endpoint.id == "desk-0"
+        assert not new.done()
+        dispatcher.release(held[1])
+        await new
+        await asyncio.gather(*blocked, return_exceptions=True)
+
     async def test_use_an_excluded_endpoint_only_as_a_last_resort(
         self, dispatcher: Dispatcher
     ) -> None:
@@ -208,6 +257,30 @@
             )
 
 
+    @pytest.mark.parametrize("peers", [["p", "q"], []])
+    async def test_do_not_use_an_engine_that_counts_as_lost_as_a_last_resort(
+        self, peers: list[str]
+    ) -> None:
+        """It took the last run that the route allows, while another engine loaded the layers."""
+        directory = ModelDirectory()
+        loads = directory.loads
+        for entry in CHAINS:
+            loads.record_unreachable(entry.id)
+        if not peers:
+            loads.record_lost("x2")
+        for peer in peers:
+            loads.update_peer(peer, {}, ["x2"])
+        dispatcher = Dispatcher(directory, "a", random.Random(1))
+        begun = begun_request(max_queue_seconds=0.0, last_resort_excluded_ids=frozenset())
+        begun = replace(begun, pool=MODEL_POOL, demand=DEMAND)
+        target = await dispatcher.acquire(begun)
+        assert "x2" not in target.endpoint_ids
+        for entry_id in [name for name in directory.entry_by_id if name.startswith("y")]:
+            del directory.entry_by_id[entry_id]
+        with pytest.raises(RefusedError):
+            await dispatcher.acquire(begun)
+
+
 class TestRefusal:
     async def test_refused_after_the_wait_with_a_retry_time(self, dispatcher: Dispatcher) -> None:
         await fill(dispatcher)
