--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -256,7 +256,6 @@
                 )
             )
 
-
     @pytest.mark.parametrize("peers", [["p", "q"], []])
     async def test_do_not_use_an_engine_that_counts_as_lost_as_a_last_resort(
         self, peers: list[str]
