--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_attempts.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_attempts.py
@@ -40,8 +40,8 @@
 STREAM_WAIT_SECONDS = 1.2
 MAX_WAIT_SHARE = 0.5  # of the time until the deadline; the rest is for processing
 MAX_SENDS = 4  # of a request that no endpoint has begun to run
-# For a request that has begun:
 BUDGET_POLL_SECONDS = 0.05
+# For a request that has begun:
 QUEUE_ROUND_SECONDS = 0.5  # then the budget and the links are looked at again
 QUEUE_HOLD_SECONDS = 1.0  # after its last run; then new requests may overtake it
 LAST_RESORT_SECONDS = 0.5  # likewise; then it may go back to endpoints that were silent or full
@@ -50,7 +50,6 @@
 BUDGET_EXHAUSTED = "retry budget exhausted"
 # A round of loans takes a few exchanges between VMs; a refusal costs the caller more.
 LOAN_WAIT_SECONDS = 0.4
-LOAN_POLL_SECONDS = 0.05
 DEFAULT_RETRY_AFTER_SECONDS = 0.5
 
 
@@ -266,7 +265,7 @@
         self._report_shortage(begun=begun)
         wait_until = min(time.monotonic() + LOAN_WAIT_SECONDS, self.deadline)
         while budget.can_borrow and time.monotonic() < wait_until:
-            await asyncio.sleep(LOAN_POLL_SECONDS)
+            await asyncio.sleep(BUDGET_POLL_SECONDS)
             if unless is not None and unless.done():
                 return False
             if budget.available(pool, begun=begun):
