--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,6 +1,7 @@
 """One engine of six sends bytes that never end, in small pieces; the daemons stop answering."""
 
 import asyncio
+import itertools
 import random
 import sys
 import time
@@ -138,14 +139,16 @@
     """Apply CONFIG: of what is unanswered at timeoutMs, no more than half half a second later."""
     orders = [a for a in case.attempts if a.path.startswith("/order-part/")]
     unanswered = [a for a in orders if a.ended_at - a.sent_at > ORDER_TIMEOUT_SECONDS]
-    later = [a for a in unanswered if a.ended_at - a.sent_at > ORDER_TIMEOUT_SECONDS + GRACE_SECONDS]
+    later = [
+        a for a in unanswered if a.ended_at - a.sent_at > ORDER_TIMEOUT_SECONDS + GRACE_SECONDS
+    ]
     for a in later:
         seconds = a.ended_at - a.sent_at
         how = str(a.status or a.end)
         case.log(f"unanswered: order {a.id} at {a.daemon} for {seconds:.3f} s, then {how}")
     for daemon in case.daemons:
         ends = sorted(a.ended_at for a in orders if a.daemon == daemon.name and a.status)
-        gaps = [(after - before, before) for before, after in zip(ends, ends[1:], strict=False)]
+        gaps = [(after - before, before) for before, after in itertools.pairwise(ends)]
         gap, at = max(gaps, default=(0.0, case.started_at))
         case.log(f"{daemon.name} answered no order for {gap:.3f} s from here", at)
         print(f"{daemon.name}: longest time without an answer to an order {gap:.3f} s")
