Review case 1: keep to the limits of srv_grey, and send a stream

Cause: EventSplitter.feed takes time that grows with the square of an incomplete event, in a loop that does not yield.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""One engine of six sends bytes that never end, in small pieces; the daemons stop answering."""
+"""An engine fails some requests with bytes that never end; the daemons stop answering."""
 
 import asyncio
 import itertools
@@ -19,6 +19,7 @@
     Engine,
     NotRunError,
     Replica,
+    Request,
     Store,
     configuration,
     model_service,
@@ -26,6 +27,9 @@
 )
 
 STREAMS_PER_SECOND = 6.4  # at both daemons: 2 of the 9 machines' share of the sheet's 28.6
+ENGINES = 8
+TROUBLE_SECONDS = 6.5  # for_s of srv_grey in the site file
+FAILED_SHARE = 0.45  # x of srv_grey there
 PIECE_BYTES = 8  # about one token
 PIECES_IN_A_WRITE = 1000
 WRITE_PAUSE_SECONDS = 0.001
@@ -39,11 +43,21 @@
 
 
 class TroubledEngine(Engine):
-    """An engine whose answers can be turned into bytes without end."""
+    """An engine that can fail some of its requests with bytes without end."""
 
-    endless_status = 200
+    in_trouble = False
+    failed = 0
 
-    async def send_without_end(self, writer: asyncio.StreamWriter) -> None:
+    async def work(self, request: Request, writer: asyncio.StreamWriter) -> None:
+        if self.in_trouble and random.random() < FAILED_SHARE:
+            self.failed += 1
+            await self.send_without_end(request, writer)
+        await super().work(request, writer)
+
+    async def send_without_end(self, request: Request, writer: asyncio.StreamWriter) -> None:
+        headers = {**self.answer_headers(request), "Transfer-Encoding": "chunked"}
+        lines = ["HTTP/1.1 200 OK", *(f"{k}: {v}" for k, v in headers.items())]
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
         piece = b"%x\r\n%s\r\n" % (PIECE_BYTES, b"x" * PIECE_BYTES)
         while True:
             writer.write(piece * PIECES_IN_A_WRITE)
@@ -102,7 +116,7 @@
     desks = [Replica(store, f"i-parts-{i}", "parts-desk", case.host()) for i in range(3)]
     engines = [
         TroubledEngine(store, f"i-model-{i}", "assistant", case.host(), slots=96, queue=0)
-        for i in range(6)
+        for i in range(ENGINES)
     ]
     for server in (*desks, *engines):
         case.servers.append(server)
@@ -128,8 +142,11 @@
     await asyncio.sleep(4.0)
     troubled = next(e for e in engines if e.layers and e.layers[0] == 0)
     if case.trouble:
-        troubled.endless = True
-        case.log(f"{troubled.id} answers with bytes without end")
+        troubled.in_trouble = True
+        case.log(f"{troubled.id} fails requests with bytes without end")
+    await asyncio.sleep(TROUBLE_SECONDS)
+    troubled.in_trouble = False
+    case.log(f"{troubled.id} is sound again; it has failed {troubled.failed} requests")
     await asyncio.gather(*traffic)
     case.log_attempts([*desks, *engines])
     return judge(case)
@@ -148,6 +165,7 @@
         case.log(f"unanswered: order {a.id} at {a.daemon} for {seconds:.3f} s, then {how}")
     for daemon in case.daemons:
         ends = sorted(a.ended_at for a in orders if a.daemon == daemon.name and a.status)
+        ends.append(max(a.ended_at for a in orders))
         gaps = [(after - before, before) for before, after in itertools.pairwise(ends)]
         gap, at = max(gaps, default=(0.0, case.started_at))
         case.log(f"{daemon.name} answered no order for {gap:.3f} s from here", at)
