Let connections take turns when they parse many small pieces

Cause: a connection parsed all that it had received before another task could run. h11 takes 9 to 11 us a chunk whatever its size (httptools 0.2 us), so one read of 256 KiB takes up to 0.4 s, in each iteration of the loop and for each connection; timers do not run meanwhile. A request that never stops arriving was never checked against headerTimeoutMs.

Change: a connection has an allowance of parsing time (2 ms, and 2 % of the time that passes). Beyond it connections take turns, one in each iteration. Chunks received together are handed on as one part. A request whose parsing outlasts headerTimeoutMs gets 408.

A faster parser needs the turns as well.

--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_client.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_client.py
@@ -16,6 +16,7 @@
     first_value,
 )
 from ragwortpaddled.transport._loop_clock import loop_clock, running_timeout
+from ragwortpaddled.transport._read_allowance import ReadAllowance
 
 # Endpoints are about 1 ms away. TCP retransmits a lost SYN only after 1 s; trying another endpoint
 # is faster than waiting for that.
@@ -23,6 +24,7 @@
 # Bounds what a faulty server can make a reader keep; the largest expected reply has 1 MB.
 MAX_BODY_BYTES = 16 * 1024 * 1024
 MAX_INTERIM_RESPONSES = 8  # a correct server sends one or two
+MAX_PART_BYTES = 64 * 1024  # of a body, joined from received chunks
 
 RawHeaders = list[tuple[bytes, bytes]]
 
@@ -54,6 +56,8 @@
         self.idle_timeout_seconds = IDLE_TIMEOUT_SECONDS
         self._stream = stream
         self._http = h11.Connection(h11.CLIENT)
+        self._allowance = ReadAllowance()
+        self._parsed: object = None  # the event, or error, that ended the last part of a body
 
     @property
     def reusable(self) -> bool:
@@ -98,14 +102,13 @@
 
         :raises ReplyLostError: the connection broke before the body was complete
         """
-        while True:
-            event = await self._next_event()
-            if isinstance(event, h11.Data):
-                return bytes(event.data)
-            if isinstance(event, h11.EndOfMessage):
-                self._prepare_next_exchange()
-                return None
-            raise ReplyLostError(f"{self.address}: connection closed within the response")
+        event = await self._next_event()
+        if isinstance(event, h11.Data):
+            return self._join_received(event)
+        if isinstance(event, h11.EndOfMessage):
+            self._prepare_next_exchange()
+            return None
+        raise ReplyLostError(f"{self.address}: connection closed within the response")
 
     async def read_body(self) -> bytes:
         """Return the whole body, or what remains of it.
@@ -127,13 +130,48 @@
         if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
             self._http.start_next_cycle()
 
+    def _join_received(self, first: h11.Data) -> bytes:
+        """Join a chunk with those received after it, as far as the connection may parse them."""
+        part = bytearray(first.data)
+        while len(part) < MAX_PART_BYTES and not self._allowance.used_up:
+            try:
+                event = self._parse()
+            except ReplyLostError as error:
+                self._parsed = error
+                break
+            if not isinstance(event, h11.Data):
+                self._parsed = None if event is h11.NEED_DATA else event
+                break
+            part += event.data
+        return bytes(part)
+
     async def _next_event(self) -> object:
+        event, self._parsed = self._parsed, None
+        if isinstance(event, ReplyLostError):
+            raise event
+        while event is None:
+            if self._allowance.used_up:
+                await self._allowance.take_turn()
+            event = self._parse()
+            if event is h11.NEED_DATA:
+                event = None
+                await self._receive()
+        return event
+
+    def _parse(self) -> object:
+        started_at = time.perf_counter()
         try:
-            while (event := self._http.next_event()) is h11.NEED_DATA:
-                self._http.receive_data(await self._stream.read())
+            return self._http.next_event()
+        except h11.ProtocolError as error:
+            raise ReplyLostError(f"{self.address}: {error}") from error
+        finally:
+            self._allowance.spend(started_at)
+
+    async def _receive(self) -> None:
+        try:
+            self._http.receive_data(await self._stream.read())
         except (OSError, h11.ProtocolError) as error:
             raise ReplyLostError(f"{self.address}: {error}") from error
-        return event
 
 
 class Http1Pool:
--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_server.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_server.py
@@ -12,6 +12,7 @@
 import logging
 import socket
 import sys
+import time
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from typing import Any
@@ -21,6 +22,7 @@
 from ragwortpaddled.transport._byte_stream import ByteStream, StreamEnd
 from ragwortpaddled.transport._http1_client import RawHeaders
 from ragwortpaddled.transport._http_messages import first_value
+from ragwortpaddled.transport._read_allowance import ReadAllowance
 
 LISTEN_BACKLOG = 1024  # connections of one burst; the kernel may lower it (net.core.somaxconn)
 # A close with unread bytes resets the connection, which destroys a response on its way to the
@@ -84,6 +86,10 @@
     return _RejectedRequestError(431, f"the target and headers exceed {max_header_bytes} bytes")
 
 
+def _incomplete_request_error() -> _RejectedRequestError:
+    return _RejectedRequestError(408, "the request was not received completely before the timeout")
+
+
 class Responder:
     """Writes the response to one request."""
 
@@ -160,6 +166,7 @@
         self._since = 0.0  # when the connection became idle or its request began to arrive
         # The limit may change while the connection is open, so it is checked here and not by h11.
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=sys.maxsize)
+        self._allowance = ReadAllowance()
 
     @property
     def _limits(self) -> CallerLimits:
@@ -287,12 +294,12 @@
         self._method = b""
         self._headers = []
         self._since = asyncio.get_running_loop().time()
-        event = self._parse_event()
+        event = await self._parse_event()
         while event is h11.NEED_DATA and not self._http.trailing_data[0]:
             if not await self._wait_readable(self._idle_limit_seconds):
                 return None
             self._receive_data(await self._stream.read())
-            event = self._parse_event()
+            event = await self._parse_event()
         if isinstance(event, h11.ConnectionClosed):
             return None
         self._has_request = True
@@ -350,21 +357,35 @@
         return ServerRequest(event.method, event.target, self._headers, bytes(body))
 
     async def _read_event(self) -> object:
-        while (event := self._parse_event()) is h11.NEED_DATA:
+        while (event := await self._parse_event()) is h11.NEED_DATA:
             if not await self._wait_readable(lambda: self._limits.header_timeout_seconds):
                 if self._refusing:
                     raise _RejectedRequestError(503, "shutting down")
-                raise _RejectedRequestError(
-                    408, "the request was not received completely before the timeout"
-                )
+                raise _incomplete_request_error()
             self._receive_data(await self._stream.read())
         return event
 
-    def _parse_event(self) -> object:
+    async def _take_turn(self) -> None:
+        """Wait until the connection may parse more; end a request that takes too long."""
+        await self._allowance.take_turn()
+        if not self._has_request:
+            return
+        if self._refusing:
+            raise _RejectedRequestError(503, "shutting down")
+        elapsed_seconds = asyncio.get_running_loop().time() - self._since
+        if elapsed_seconds >= self._limits.header_timeout_seconds:
+            raise _incomplete_request_error()
+
+    async def _parse_event(self) -> object:
+        if self._allowance.used_up:
+            await self._take_turn()
+        started_at = time.perf_counter()
         try:
             event = self._http.next_event()
         except h11.RemoteProtocolError as error:
             raise _RejectedRequestError(error.error_status_hint, str(error)) from error
+        finally:
+            self._allowance.spend(started_at)
         max_header_bytes = self._limits.max_header_bytes
         if event is h11.NEED_DATA:
             incomplete_bytes = len(self._http.trailing_data[0])
