Bound the memory of all messages that are being received

Cause: each response is kept whole up to 16 MiB, each upload up to 4 MiB, each incomplete event up to 256 KiB, without a bound for all together; up to 1 MB of receive buffers a connection; and a rejected upload was kept by the traceback of its rejection until its connection was closed.

Change: all of them together retain at most 24 MiB; beyond it the source that retains the most loses its largest incomplete message. 64 KiB are received at a time. Bodies are cleared when their reader fails.

--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_endpoint_client.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_endpoint_client.py
@@ -92,6 +92,10 @@
         self._complete = True
         return body
 
+    def retain(self, size: int) -> None:
+        """Record how many received bytes the reader keeps; raises ``ReplyTooLargeError``."""
+        self._connection.retain(size)
+
     def close(self) -> None:
         """Return the connection to the pool after a complete response, else close it.
 
--- a/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relayed_request.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/coordination/_relayed_request.py
@@ -26,6 +26,7 @@
     NotRunError,
     RefusedError,
     ReplyLostError,
+    ReplyTooLargeError,
     ResponseLostError,
     StalledError,
     UnresponsiveError,
@@ -233,6 +234,8 @@
                 await self._relay_stream(response, target)
             else:
                 await self._relay_complete_response(response, target)
+        except ReplyTooLargeError as error:
+            raise MaybeRunError(target.endpoint.id, str(error)) from error
         except ReplyLostError as error:
             raise ResponseLostError(target.endpoint.id, str(error)) from error
         finally:
@@ -296,6 +299,7 @@
         """
         while (data := await response.read()) is not None:
             events = self._splitter.feed(data)
+            response.retain(self._splitter.partial_bytes)
             if events:
                 return events
             if self._splitter.partial_bytes > MAX_EVENT_BYTES:
--- a/packages/ragwortpaddled/src/ragwortpaddled/errors.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/errors.py
@@ -29,6 +29,10 @@
     """No reply arrived before the timeout."""
 
 
+class ReplyTooLargeError(ReplyLostError):
+    """A reply was ended here, because its size exceeds a limit."""
+
+
 class PeerRefusedError(TransportError):
     """A peer's message was malformed or not authentic, or the peer rejected a message."""
 
--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/__init__.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/__init__.py
@@ -35,6 +35,7 @@
     running_timeout,
     wait_running,
 )
+from ragwortpaddled.transport._message_memory import message_memory
 from ragwortpaddled.transport._peer_socket import PeerClient, PeerHandler, PeerServer
 
 if TYPE_CHECKING:
@@ -63,6 +64,7 @@
     "ServerRequest",
     "first_value",
     "loop_clock",
+    "message_memory",
     "parse_address",
     "running_timeout",
     "wait_running",
--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_byte_stream.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_byte_stream.py
@@ -11,7 +11,11 @@
 from ragwortpaddled.transport._socket_options import set_options
 
 NO_LINGER = struct.pack("ii", 1, 0)  # close() sends a reset
-MAX_UNREAD_BYTES = 256 * 1024  # bounds the memory per client on a VM with 300 MB
+MAX_UNREAD_BYTES = 64 * 1024  # bounds the memory per client on a VM with 300 MB
+RECEIVE_BYTES = 64 * 1024
+
+# Shared by all connections: the event loop fills it and hands it to one of them at once.
+_receive_buffer = memoryview(bytearray(RECEIVE_BYTES))
 
 logger = logging.getLogger(__name__)
 
@@ -25,7 +29,7 @@
     CLOSED_HERE = "closed by this process"
 
 
-class ByteStream(asyncio.Protocol):
+class ByteStream(asyncio.BufferedProtocol):
     """One TCP connection, read and written by a single task."""
 
     def __init__(self, on_connect: "Callable[[ByteStream], None] | None" = None) -> None:
@@ -44,6 +48,12 @@
         """Return whether the peer has closed its sending side or the connection has ended."""
         return self.end is not None
 
+    @property
+    def peer_host(self) -> str:
+        """Return the address of the peer without its port, empty if it is not known."""
+        peer_name = self._transport.get_extra_info("peername") if self._transport else None
+        return peer_name[0] if peer_name else ""
+
     @property
     def unread_bytes(self) -> int:
         """Return the number of received bytes that have not been read."""
@@ -65,6 +75,14 @@
         if self._on_connect is not None:
             self._on_connect(self)
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the bytes that are received next."""
+        return _receive_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Take the received bytes out of the shared buffer."""
+        self.data_received(bytes(_receive_buffer[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Buffer received bytes; stop receiving while more than ``MAX_UNREAD_BYTES`` are unread."""
         self._buffer += data
--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_client.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_client.py
@@ -7,7 +7,12 @@
 
 import h11
 
-from ragwortpaddled.errors import NotSentError, ReplyLostError, ReplyTimeoutError
+from ragwortpaddled.errors import (
+    NotSentError,
+    ReplyLostError,
+    ReplyTimeoutError,
+    ReplyTooLargeError,
+)
 from ragwortpaddled.transport._byte_stream import ByteStream, connect
 from ragwortpaddled.transport._http_messages import (
     IDLE_TIMEOUT_SECONDS,
@@ -16,6 +21,7 @@
     first_value,
 )
 from ragwortpaddled.transport._loop_clock import loop_clock, running_timeout
+from ragwortpaddled.transport._message_memory import RetainedMessage, message_memory
 from ragwortpaddled.transport._read_allowance import ReadAllowance
 
 # Endpoints are about 1 ms away. TCP retransmits a lost SYN only after 1 s; trying another endpoint
@@ -57,6 +63,7 @@
         self._stream = stream
         self._http = h11.Connection(h11.CLIENT)
         self._allowance = ReadAllowance()
+        self._message = RetainedMessage(message_memory(), address, stream.abort)
         self._parsed: object = None  # the event, or error, that ended the last part of a body
 
     @property
@@ -113,19 +120,43 @@
     async def read_body(self) -> bytes:
         """Return the whole body, or what remains of it.
 
-        :raises ReplyLostError: the connection broke, or the body exceeds ``MAX_BODY_BYTES``
+        :raises ReplyTooLargeError: the body exceeds ``MAX_BODY_BYTES``, or see ``retain``
+        :raises ReplyLostError: the connection broke
         """
         body = bytearray()
-        while (data := await self.read_body_part()) is not None:
-            body += data
-            if len(body) > MAX_BODY_BYTES:
-                raise ReplyLostError(f"{self.address}: body exceeds {MAX_BODY_BYTES} bytes")
-        return bytes(body)
+        try:
+            while (data := await self.read_body_part()) is not None:
+                body += data
+                if len(body) > MAX_BODY_BYTES:
+                    raise ReplyTooLargeError(f"{self.address}: body exceeds {MAX_BODY_BYTES} bytes")
+                self.retain(len(body))
+            self._message.complete = True
+            return bytes(body)
+        finally:
+            body.clear()  # the traceback of an error would keep it
+
+    def retain(self, size: int) -> None:
+        """Record how many bytes of the response the reader keeps, until the connection is released.
+
+        :raises ReplyTooLargeError: the response was ended to free memory
+        """
+        self._message.retain(size)
+        self._check_retained()
 
     def close(self) -> None:
         """Reset the connection, which makes the endpoint cancel a running request."""
+        self._message.release()
         self._stream.abort()
 
+    def release_memory(self) -> None:
+        """Record that nothing of the last response is kept."""
+        self._message.release()
+
+    def _check_retained(self) -> None:
+        if self._message.ended:
+            reason = "response ended to bound the memory of incomplete messages"
+            raise ReplyTooLargeError(f"{self.address}: {reason}")
+
     def _prepare_next_exchange(self) -> None:
         if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
             self._http.start_next_cycle()
@@ -169,8 +200,11 @@
 
     async def _receive(self) -> None:
         try:
-            self._http.receive_data(await self._stream.read())
+            data = await self._stream.read()
+            self._check_retained()
+            self._http.receive_data(data)
         except (OSError, h11.ProtocolError) as error:
+            self._check_retained()
             raise ReplyLostError(f"{self.address}: {error}") from error
 
 
@@ -205,6 +239,7 @@
 
     def release(self, connection: Http1Connection) -> None:
         """Return a connection to the pool, or close it if it is not reusable."""
+        connection.release_memory()
         if not connection.reusable:
             connection.close()
             return
--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_server.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_server.py
@@ -22,6 +22,7 @@
 from ragwortpaddled.transport._byte_stream import ByteStream, StreamEnd
 from ragwortpaddled.transport._http1_client import RawHeaders
 from ragwortpaddled.transport._http_messages import first_value
+from ragwortpaddled.transport._message_memory import RetainedMessage, message_memory
 from ragwortpaddled.transport._read_allowance import ReadAllowance
 
 LISTEN_BACKLOG = 1024  # connections of one burst; the kernel may lower it (net.core.somaxconn)
@@ -167,6 +168,7 @@
         # The limit may change while the connection is open, so it is checked here and not by h11.
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=sys.maxsize)
         self._allowance = ReadAllowance()
+        self._message = RetainedMessage(message_memory(), stream.peer_host, self._end_wait)
 
     @property
     def _limits(self) -> CallerLimits:
@@ -240,6 +242,7 @@
         try:
             await self._serve_all()
         finally:
+            self._message.release()
             if self._has_request:
                 self._log_end()
 
@@ -279,6 +282,7 @@
             return False
         finally:
             self._stream.on_disconnect = None
+            self._message.release()
         if not self.response_complete:
             self.abort("the handler ended before the response was complete")
             return False
@@ -327,7 +331,7 @@
                 for _ in range(LOOP_TURNS_TO_RECEIVE):
                     await asyncio.sleep(0)
                 expired = loop.time() >= self._since + limit_seconds()
-                if (expired or self._refusing) and not self._stream.readable:
+                if (expired or self._ended_early) and not self._stream.readable:
                     return False
         return True
 
@@ -345,23 +349,36 @@
             raise _header_limit_error(self._limits.max_header_bytes)
         if self._http.they_are_waiting_for_100_continue:
             await self.send(h11.InformationalResponse(status_code=100, headers=[]))
+        body = await self._read_body()
+        if body is None:
+            return None
+        return ServerRequest(event.method, event.target, self._headers, body)
+
+    async def _read_body(self) -> bytes | None:
+        """Return the whole body, None if the connection ends before."""
         body = bytearray()
-        while not isinstance(part := await self._read_event(), h11.EndOfMessage):
-            if isinstance(part, h11.ConnectionClosed):
-                return None
-            assert isinstance(part, h11.Data)
-            body += part.data
-            max_bytes = self._limits.max_body_bytes
-            if len(body) > max_bytes:
-                raise _RejectedRequestError(413, f"the body exceeds {max_bytes} bytes")
-        return ServerRequest(event.method, event.target, self._headers, bytes(body))
+        try:
+            while not isinstance(part := await self._read_event(), h11.EndOfMessage):
+                if isinstance(part, h11.ConnectionClosed):
+                    return None
+                assert isinstance(part, h11.Data)
+                body += part.data
+                max_bytes = self._limits.max_body_bytes
+                if len(body) > max_bytes:
+                    raise _RejectedRequestError(413, f"the body exceeds {max_bytes} bytes")
+                self._message.retain(len(body))
+                self._check_memory()
+            self._message.complete = True
+            return bytes(body)
+        finally:
+            body.clear()  # the traceback of an error would keep it
 
     async def _read_event(self) -> object:
         while (event := await self._parse_event()) is h11.NEED_DATA:
             if not await self._wait_readable(lambda: self._limits.header_timeout_seconds):
-                if self._refusing:
-                    raise _RejectedRequestError(503, "shutting down")
+                self._check_ended_early()
                 raise _incomplete_request_error()
+            self._check_memory()
             self._receive_data(await self._stream.read())
         return event
 
@@ -370,12 +387,25 @@
         await self._allowance.take_turn()
         if not self._has_request:
             return
-        if self._refusing:
-            raise _RejectedRequestError(503, "shutting down")
+        self._check_ended_early()
         elapsed_seconds = asyncio.get_running_loop().time() - self._since
         if elapsed_seconds >= self._limits.header_timeout_seconds:
             raise _incomplete_request_error()
 
+    @property
+    def _ended_early(self) -> bool:
+        """Return whether a request that has not arrived completely is no longer waited for."""
+        return self._refusing or self._message.ended
+
+    def _check_memory(self) -> None:
+        if self._message.ended:
+            raise _RejectedRequestError(503, "the memory for incomplete messages is used up")
+
+    def _check_ended_early(self) -> None:
+        self._check_memory()
+        if self._refusing:
+            raise _RejectedRequestError(503, "shutting down")
+
     async def _parse_event(self) -> object:
         if self._allowance.used_up:
             await self._take_turn()
--- a/tests/test_small_pieces.py
+++ b/tests/test_small_pieces.py
@@ -5,11 +5,11 @@
 """
 
 import asyncio
-import time
 from collections.abc import AsyncIterator
 from functools import partial
 
 import pytest
+from endless_messages import HEAD, EndlessServer, LoopWatch, chunk, upload
 from ragwortpaddle_standins.relay_platform import EVENT_STREAM
 from ragwortpaddled.errors import ReplyLostError, ReplyTimeoutError
 from ragwortpaddled.relay import RelayDaemon
@@ -26,70 +26,6 @@
 MAX_WAIT_SECONDS = 0.25  # of any other request of the daemon
 CONNECTIONS = 5
 READ_SECONDS = 1.0
-BLOCK_BYTES = 64 * 1024
-HEAD = (
-    b"HTTP/1.1 %d OK\r\nX-Attempt-Id: a1\r\nX-Server-Seal: seal\r\n"
-    b"Transfer-Encoding: chunked\r\n\r\n"
-)
-UPLOAD_HEAD = b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
-
-
-def chunk(data: bytes) -> bytes:
-    """Return one chunk of a body."""
-    return b"%x\r\n%s\r\n" % (len(data), data)
-
-
-class LoopWatch:
-    """Measures the longest processor time of one iteration of the event loop, in seconds."""
-
-    def __init__(self) -> None:
-        self.longest_seconds = 0.0
-
-    async def __aenter__(self) -> "LoopWatch":
-        self._task = asyncio.create_task(self._run())
-        return self
-
-    async def __aexit__(self, *_: object) -> None:
-        self._task.cancel()
-        await asyncio.wait([self._task])
-
-    async def _run(self) -> None:
-        while True:
-            started_at = time.thread_time()
-            await asyncio.sleep(0)
-            self.longest_seconds = max(self.longest_seconds, time.thread_time() - started_at)
-
-
-class EndlessServer:
-    """Answers the first request of each connection with a head and a piece without end."""
-
-    def __init__(self, piece: bytes, status: int = 200) -> None:
-        self.address = ""
-        self.answered = 0
-        self._head = HEAD % status
-        self._block = chunk(piece) * (BLOCK_BYTES // len(chunk(piece)))
-
-    async def __aenter__(self) -> "EndlessServer":
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.address = "{}:{}".format(*self._server.sockets[0].getsockname()[:2])
-        return self
-
-    async def __aexit__(self, *_: object) -> None:
-        self._server.close()
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        try:
-            await reader.readuntil(b"\r\n\r\n")
-            self.answered += 1
-            writer.write(self._head)
-            while True:
-                writer.write(self._block)
-                await writer.drain()
-                await asyncio.sleep(0)
-        except (ConnectionError, asyncio.IncompleteReadError):
-            pass
-        finally:
-            writer.transport.abort()
 
 
 class TestResponses:
@@ -175,41 +111,19 @@
         server.stop_accepting()
         server.abort()
 
-    @staticmethod
-    async def upload(server: Http1Server, piece: bytes, count: int) -> bytes:
-        """Send a body in equal chunks; return the first line of the response."""
-        host, _, port = server.address.rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
-        response = asyncio.create_task(reader.readline())
-        writer.write(UPLOAD_HEAD)
-        in_block = BLOCK_BYTES // len(chunk(piece))
-        try:
-            for sent in range(0, count, in_block):
-                writer.write(chunk(piece) * min(in_block, count - sent))
-                drained = asyncio.ensure_future(writer.drain())
-                await asyncio.wait([drained, response], return_when=asyncio.FIRST_COMPLETED)
-                await asyncio.sleep(0)
-                if response.done():
-                    break
-            else:
-                writer.write(b"0\r\n\r\n")
-            return await response
-        finally:
-            writer.transport.abort()
-
     async def test_upload_in_pieces_of_a_byte_leaves_the_loop_to_others(
         self, server: Http1Server
     ) -> None:
         """A body within the limits whose pieces take longer than its caller may take."""
         async with LoopWatch() as watch:
             first_lines = await asyncio.gather(
-                *(self.upload(server, b"x", 1_000_000) for _ in range(CONNECTIONS))
+                *(upload(server, b"x", 1_000_000) for _ in range(CONNECTIONS))
             )
         assert watch.longest_seconds < MAX_WAIT_SECONDS
         assert all(line.startswith(b"HTTP/1.1 408") for line in first_lines)
 
     async def test_long_upload_in_usual_pieces_is_served(self, server: Http1Server) -> None:
-        assert (await self.upload(server, b"x" * 1000, 1000)).startswith(b"HTTP/1.1 200")
+        assert (await upload(server, b"x" * 1000, 1000)).startswith(b"HTTP/1.1 200")
 
 
 def _has_entry(daemon: RelayDaemon, address: str) -> bool:
