Return a list of several pages as of one revision

Cause: PlatformClient.list_objects gave the list the revision of its last page, from which it was then watched. A change of an object of an earlier page is in neither. Peers are asked for changes after the same revision, so they do not help.

Change: if the store's revision has changed between the first and the last page, the changes since the first one are read by a watch that does not wait, and applied. That covers all readers of lists: endpoints, configuration, daemons, quarantines, the operator's objects. If the store has discarded them, the list has the revision of its first page, and a watch from it finds that out.

Watching from the first page's revision leaves readers that only list with a wrong list.

--- a/packages/ragwortpaddled/src/ragwortpaddled/protocol/_platform.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/_platform.py
@@ -265,23 +265,48 @@
     async def list_objects(self, prefix: str, purpose: str) -> ObjectList:
         """Return all objects whose keys start with ``prefix``.
 
+        Objects may change between two pages of the list. Such changes are applied, unless the
+        platform no longer has them; a watch from the revision of the list covers those as well.
+
         :raises PlatformUnavailableError: the platform did not serve the request
         """
         objects: list[StoredObject] = []
         after = ""
         first_era = None
+        first_revision = None
         while True:
             reply = await self._read(self._dialect.list_objects(prefix, after), purpose)
             page = _decode(partial(self._dialect.decode_list, prefix, reply))
             era = self._era_of_reply(reply)
             first_era = era if first_era is None else first_era
+            first_revision = page.revision if first_revision is None else first_revision
             if era != first_era:
                 raise PlatformUnavailableError(f"{prefix}: the store was restored during the list")
             objects += [_add_era(stored, era) for stored in page.objects]
             _log_unreadable(prefix, page.unreadable)
             after = page.continue_after
-            if not after:
-                return ObjectList(make_version(era, page.revision), objects)
+            if after:
+                continue
+            listing = ObjectList(make_version(era, first_revision), objects)
+            last_version = make_version(era, page.revision)
+            return await self._apply_changes_since(prefix, listing, last_version, purpose)
+
+    async def _apply_changes_since(
+        self, prefix: str, listing: ObjectList, until: int, purpose: str
+    ) -> ObjectList:
+        """Return a list as of the version ``until`` or a later one."""
+        while listing.revision < until:
+            try:
+                changes = await self.watch(prefix, listing.revision, 0.0, purpose)
+            except HistoryLostError as error:
+                fields = {"prefix": prefix, "reason": str(error)}
+                logger.info("changes during a list not available", extra={"fields": fields})
+                return listing
+            version = max(changes.revision, listing.revision)
+            if not (changes.objects or changes.removed):
+                version = max(version, until)
+            listing = ObjectList(version, _merge_changes(listing.objects, changes))
+        return listing
 
     async def watch(self, prefix: str, after: int, wait_seconds: float, purpose: str) -> ObjectList:
         """Wait for changes, after a version, of objects whose keys start with ``prefix``.
@@ -396,6 +421,20 @@
         self.era_known = True
 
 
+def _merge_changes(objects: list[StoredObject], changes: ObjectList) -> list[StoredObject]:
+    """Apply changes to objects, some of which may already be newer."""
+    object_by_key = {stored.key: stored for stored in objects}
+    for key in changes.removed:
+        known = object_by_key.get(key)
+        if known is not None and known.version <= changes.revision:
+            del object_by_key[key]
+    for stored in changes.objects:
+        known = object_by_key.get(stored.key)
+        if known is None or known.version < stored.version:
+            object_by_key[stored.key] = stored
+    return list(object_by_key.values())
+
+
 def _add_era(stored: StoredObject, era: int) -> StoredObject:
     return StoredObject(stored.key, make_version(era, stored.version), stored.value)
 
--- a/packages/standins/src/ragwortpaddle_standins/relay_platform.py
+++ b/packages/standins/src/ragwortpaddle_standins/relay_platform.py
@@ -153,8 +153,9 @@
 
     Faults: ``unavailable`` answers every call with 503, ``resetting`` resets the connection of
     every call, ``write_responses_to_lose`` is the number of writes, counted down, that are applied
-    and whose response is lost. ``restore`` replaces the content by a copy taken before, which takes
-    the revision back and starts a new era.
+    and whose response is lost. A list has pages of ``page_size`` objects; ``after_page`` is called
+    with the kind and the number of each page, from 1, when its content is fixed. ``restore``
+    replaces the content by a copy taken before, which takes the revision back and starts a new era.
     """
 
     def __init__(self) -> None:
@@ -165,6 +166,8 @@
         self.unavailable = False
         self.resetting = False
         self.write_responses_to_lose = 0
+        self.page_size = 500
+        self.after_page: Callable[[str, int], None] = lambda kind, number: None
         self.oldest_retained_revision = 0
         self._changes: list[tuple[int, str, bool]] = []
         self.restored_at = float("-inf")  # on the monotonic clock
@@ -265,8 +268,7 @@
         if request.method == b"GET" and "watch" in query:
             return await self._watch(path_parts[0], int(query["watch"]), int(query["waitMs"]))
         if request.method == b"GET" and len(path_parts) == 1:
-            items = [o for k, o in self.object_by_key.items() if k.startswith(path_parts[0] + "/")]
-            return 200, {"items": items, "hasMore": False, "storeRevision": self.revision}
+            return 200, self._list(path_parts[0], query.get("startAfter", ""))
         if request.method == b"POST":
             return self._create(path_parts[0], msgspec.json.decode(request.body))
         if stored is None:
@@ -287,6 +289,17 @@
         self.put(path_parts[0], path_parts[1], body["spec"])
         return 200, self.object_by_key[key]
 
+    def _list(self, kind: str, start_after: str) -> dict:
+        keys = sorted(key for key in self.object_by_key if key.startswith(kind + "/"))
+        left = [key for key in keys if key > f"{kind}/{start_after}"]
+        page = {
+            "items": [self.object_by_key[key] for key in left[: self.page_size]],
+            "hasMore": len(left) > self.page_size,
+            "storeRevision": self.revision,
+        }
+        self.after_page(kind, (len(keys) - len(left)) // self.page_size + 1)
+        return page
+
     def _create(self, kind: str, body: dict) -> tuple[int, object]:
         name = body["metadata"]["name"]
         stored = self.object_by_key.get(f"{kind}/{name}")
