Bound the replies that the product's own interface reads

Callers would see, in the product's own interface: a daemon that runs out of memory beside a faulty engine, service or store that sends a body without end; the same cause as in the relay, on the other client. No run of a whole daemon of that interface was made.

Cause: HttpClient read each reply whole, without any bound but the time-out.

Change: it retains its replies in the same memory as the relay's client and ends them at the same limits (16 MiB for one, 24 MiB for all that are incomplete).

Evidence: the test of 60 endless replies beside a sound long one failed before, 4,011 MB at most of 100 MB; it passes now. Small pieces do not keep its event loop: those tests passed before as well.

--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_client.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_client.py
@@ -16,6 +16,7 @@
 from ragwortpaddled.transport._byte_stream import ByteStream, connect
 from ragwortpaddled.transport._http_messages import (
     IDLE_TIMEOUT_SECONDS,
+    MAX_BODY_BYTES,
     Headers,
     HttpReply,
     first_value,
@@ -27,8 +28,6 @@
 # Endpoints are about 1 ms away. TCP retransmits a lost SYN only after 1 s; trying another endpoint
 # is faster than waiting for that.
 CONNECT_TIMEOUT_SECONDS = 0.4
-# Bounds what a faulty server can make a reader keep; the largest expected reply has 1 MB.
-MAX_BODY_BYTES = 16 * 1024 * 1024
 MAX_INTERIM_RESPONSES = 8  # a correct server sends one or two
 MAX_PART_BYTES = 64 * 1024  # of a body, joined from received chunks
 
--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_http_client.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_http_client.py
@@ -3,6 +3,7 @@
 from aiohttp import (
     ClientConnectorError,
     ClientError,
+    ClientResponse,
     ClientSession,
     ClientTimeout,
     ConnectionTimeoutError,
@@ -12,8 +13,19 @@
 from multidict import CIMultiDict
 from yarl import URL
 
-from ragwortpaddled.errors import NotSentError, ReplyLostError, ReplyTimeoutError
-from ragwortpaddled.transport._http_messages import IDLE_TIMEOUT_SECONDS, Headers, HttpReply
+from ragwortpaddled.errors import (
+    NotSentError,
+    ReplyLostError,
+    ReplyTimeoutError,
+    ReplyTooLargeError,
+)
+from ragwortpaddled.transport._http_messages import (
+    IDLE_TIMEOUT_SECONDS,
+    MAX_BODY_BYTES,
+    Headers,
+    HttpReply,
+)
+from ragwortpaddled.transport._message_memory import RetainedMessage, message_memory
 from ragwortpaddled.transport._socket_options import new_socket
 
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -74,7 +86,7 @@
                 timeout=timeout,
                 allow_redirects=False,
             ) as response:
-                reply_body = await response.read()
+                reply_body = await _read_body(response)
                 return HttpReply(response.status, tuple(response.raw_headers), reply_body)
         except (ClientConnectorError, ConnectionTimeoutError) as error:
             raise NotSentError(f"{url}: {error}") from error
@@ -84,6 +96,23 @@
             raise ReplyLostError(f"{url}: {type(error).__name__}: {error}") from error
 
 
+async def _read_body(response: ClientResponse) -> bytes:
+    """Return the whole body; raises ``ReplyTooLargeError`` if it exceeds a limit."""
+    source = response.url.authority
+    message = RetainedMessage(message_memory(), source, response.close)
+    body = bytearray()
+    try:
+        async for data in response.content.iter_any():
+            body += data
+            message.retain(len(body))
+            if message.ended or len(body) > MAX_BODY_BYTES:
+                raise ReplyTooLargeError(f"{source}: body of {len(body)} bytes exceeds a limit")
+        return bytes(body)
+    finally:
+        message.release()
+        body.clear()  # the traceback of an error would keep it
+
+
 def _new_session(*, reuse: bool) -> ClientSession:
     if reuse:
         connector = TCPConnector(
--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_http_messages.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_http_messages.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+# Bounds what a faulty server can make a reader keep; the largest expected reply has 1 MB.
+MAX_BODY_BYTES = 16 * 1024 * 1024
 IDLE_TIMEOUT_SECONDS = 3.0  # common servers close idle connections after 5 s
 
 Headers = Iterable[tuple[bytes, bytes]]
--- a/tests/endless_messages.py
+++ b/tests/endless_messages.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 
-from ragwortpaddled.transport import Http1Server
+from ragwortpaddled.transport import Http1Client, Http1Server, HttpClient
 
 BLOCK_BYTES = 64 * 1024
 HEAD = (
@@ -71,6 +71,14 @@
             writer.transport.abort()
 
 
+async def close_client(client: Http1Client | HttpClient) -> None:
+    """Close a client of either interface."""
+    if isinstance(client, HttpClient):
+        await client.close()
+    else:
+        client.close()
+
+
 async def upload(
     server: Http1Server, piece: bytes, count: float, local_host: str = "127.0.0.1"
 ) -> bytes:
--- a/tests/test_message_memory.py
+++ b/tests/test_message_memory.py
@@ -10,13 +10,14 @@
 from collections.abc import Iterator
 
 import pytest
-from endless_messages import EndlessServer, upload
+from endless_messages import EndlessServer, close_client, upload
 from ragwortpaddle_standins.relay_platform import EVENT_STREAM
 from ragwortpaddled.errors import ReplyLostError
 from ragwortpaddled.transport import (
     CallerLimits,
     Http1Client,
     Http1Server,
+    HttpClient,
     Responder,
     ServerRequest,
     message_memory,
@@ -92,7 +93,8 @@
 class TestResponses:
     """Responses of endpoints and of the store."""
 
-    async def test_many_without_end_stay_below_the_bound(self, traced_memory) -> None:
+    @pytest.mark.parametrize("client_type", [Http1Client, HttpClient])
+    async def test_many_without_end_stay_below_the_bound(self, traced_memory, client_type) -> None:
         """A long response of another endpoint, which arrives beside them, is read to its end."""
         sent = PIECE * 256
 
@@ -102,7 +104,7 @@
                 await responder.write(sent[offset : offset + len(PIECE)])
             await responder.finish()
 
-        sound, client = Http1Server("127.0.0.1:0", answer), Http1Client()
+        sound, client = Http1Server("127.0.0.1:0", answer), client_type()
         await sound.start()
 
         async def read_endless(address: str) -> None:
@@ -118,7 +120,7 @@
             await asyncio.gather(*reads)
         assert peak_bytes() < MAX_ADDED_BYTES
         assert message_memory().retained_bytes == 0
-        client.close()
+        await close_client(client)
         sound.stop_accepting()
         sound.abort()
 
--- a/tests/test_small_pieces.py
+++ b/tests/test_small_pieces.py
@@ -9,7 +9,7 @@
 from functools import partial
 
 import pytest
-from endless_messages import HEAD, EndlessServer, LoopWatch, chunk, upload
+from endless_messages import HEAD, EndlessServer, LoopWatch, chunk, close_client, upload
 from ragwortpaddle_standins.relay_platform import EVENT_STREAM
 from ragwortpaddled.errors import ReplyLostError, ReplyTimeoutError
 from ragwortpaddled.relay import RelayDaemon
@@ -18,6 +18,7 @@
     Http1Client,
     Http1Pool,
     Http1Server,
+    HttpClient,
     Responder,
     ServerRequest,
 )
@@ -31,9 +32,10 @@
 class TestResponses:
     """Responses of endpoints, of peers that forward, and of the store."""
 
+    @pytest.mark.parametrize("client_type", [Http1Client, HttpClient])
     @pytest.mark.parametrize("piece", [b"x", b"x" * 8, b"x" * 70, b"\n"])
-    async def test_reader_leaves_the_loop_to_others(self, piece: bytes) -> None:
-        client = Http1Client()
+    async def test_reader_leaves_the_loop_to_others(self, piece: bytes, client_type) -> None:
+        client = client_type()
 
         async def read(address: str) -> None:
             with pytest.raises((ReplyTimeoutError, ReplyLostError)):
@@ -43,7 +45,7 @@
             await asyncio.gather(*(read(server.address) for _ in range(CONNECTIONS)))
             assert server.answered == CONNECTIONS
         assert watch.longest_seconds < MAX_WAIT_SECONDS
-        client.close()
+        await close_client(client)
 
     async def test_long_response_in_small_pieces_is_read_beside_endless_ones(self) -> None:
         """The reader takes its turns with those of the endless responses."""
