Log connections that are delayed for small pieces; tidy what ends a message

- list_objects ends also if the store repeats changes without advancing its revision.
- The check for an ended response stands once on each way; names tell what they check.

--- a/packages/ragwortpaddled/src/ragwortpaddled/protocol/_platform.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/protocol/_platform.py
@@ -302,9 +302,8 @@
                 fields = {"prefix": prefix, "reason": str(error)}
                 logger.info("changes during a list not available", extra={"fields": fields})
                 return listing
-            version = max(changes.revision, listing.revision)
-            if not (changes.objects or changes.removed):
-                version = max(version, until)
+            has_progress = changes.revision > listing.revision
+            version = changes.revision if has_progress else until
             listing = ObjectList(version, _merge_changes(listing.objects, changes))
         return listing
 
--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_client.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_client.py
@@ -61,7 +61,7 @@
         self.idle_timeout_seconds = IDLE_TIMEOUT_SECONDS
         self._stream = stream
         self._http = h11.Connection(h11.CLIENT)
-        self._allowance = ReadAllowance()
+        self._allowance = ReadAllowance(address)
         self._message = RetainedMessage(message_memory(), address, stream.abort)
         self._parsed: object = None  # the event, or error, that ended the last part of a body
 
@@ -140,7 +140,7 @@
         :raises ReplyTooLargeError: the response was ended to free memory
         """
         self._message.retain(size)
-        self._check_retained()
+        self._check_not_ended()
 
     def close(self) -> None:
         """Reset the connection, which makes the endpoint cancel a running request."""
@@ -151,7 +151,7 @@
         """Record that nothing of the last response is kept."""
         self._message.release()
 
-    def _check_retained(self) -> None:
+    def _check_not_ended(self) -> None:
         if self._message.ended:
             reason = "response ended to bound the memory of incomplete messages"
             raise ReplyTooLargeError(f"{self.address}: {reason}")
@@ -161,7 +161,7 @@
             self._http.start_next_cycle()
 
     def _join_received(self, first: h11.Data) -> bytes:
-        """Join a chunk with those received after it, as far as the connection may parse them."""
+        """Join a chunk with those received with it, as far as the connection may parse them."""
         part = bytearray(first.data)
         while len(part) < MAX_PART_BYTES and not self._allowance.used_up:
             try:
@@ -199,12 +199,11 @@
 
     async def _receive(self) -> None:
         try:
-            data = await self._stream.read()
-            self._check_retained()
-            self._http.receive_data(data)
+            self._http.receive_data(await self._stream.read())
         except (OSError, h11.ProtocolError) as error:
-            self._check_retained()
+            self._check_not_ended()
             raise ReplyLostError(f"{self.address}: {error}") from error
+        self._check_not_ended()
 
 
 class Http1Pool:
--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_server.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_http1_server.py
@@ -167,7 +167,7 @@
         self._since = 0.0  # when the connection became idle or its request began to arrive
         # The limit may change while the connection is open, so it is checked here and not by h11.
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=sys.maxsize)
-        self._allowance = ReadAllowance()
+        self._allowance = ReadAllowance(stream.peer_host)
         self._message = RetainedMessage(message_memory(), stream.peer_host, self._end_wait)
 
     @property
--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_message_memory.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_message_memory.py
@@ -21,14 +21,14 @@
     ``ended`` tells the reader that the message was ended to free its memory.
     """
 
-    def __init__(self, memory: "MessageMemory", source: str, end: Callable[[], object]) -> None:
-        """``source`` is the sender's address; ``end`` is called to wake the reader."""
+    def __init__(self, memory: "MessageMemory", source: str, on_end: Callable[[], object]) -> None:
+        """``source`` is the sender's address; ``on_end`` wakes the reader of an ended message."""
         self.source = source
         self.size = 0
         self.complete = False  # a complete message is not ended
         self.ended = False
         self._memory = memory
-        self._end = end
+        self._on_end = on_end
 
     def retain(self, size: int) -> None:
         """Set the number of bytes that are retained now; may end this message or another one."""
@@ -42,10 +42,10 @@
         self.ended = False
 
     def end(self) -> None:
-        """Free the memory."""
+        """End the message to free its memory."""
         self.retain(0)
         self.ended = True
-        self._end()
+        self._on_end()
 
 
 class MessageMemory:
--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_read_allowance.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_read_allowance.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import logging
 import time
 from weakref import WeakKeyDictionary
 
@@ -13,6 +14,9 @@
 EARNED_SHARE = 0.02  # of the time that passes
 MAX_ALLOWANCE_SECONDS = 0.0005  # many connections may use it in the same iteration of the loop
 TURN_SECONDS = 0.002
+LOGGED_TURNS = 50  # of one connection
+
+logger = logging.getLogger(__name__)
 
 _lock_by_loop: WeakKeyDictionary[asyncio.AbstractEventLoop, asyncio.Lock] = WeakKeyDictionary()
 
@@ -24,7 +28,10 @@
     most one in each iteration of the event loop.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, source: str) -> None:
+        """``source`` is the peer's address, for the log."""
+        self._source = source
+        self._turns = 0
         self._left_seconds = MAX_ALLOWANCE_SECONDS
         self._updated_at = time.perf_counter()
 
@@ -46,6 +53,10 @@
         """Wait until other tasks and the connections that asked before have run."""
         async with _turn_lock():
             await asyncio.sleep(0)
+        self._turns += 1
+        if self._turns == LOGGED_TURNS:
+            fields = {"source": self._source, "turns": self._turns}
+            logger.info("connection delayed for its many small pieces", extra={"fields": fields})
         self._left_seconds = TURN_SECONDS
         self._updated_at = time.perf_counter()
 
