Use one endless server in the tests; correct claims that no run shows

Change: one EndlessServer, in endless_messages.py, serves test_http1.py, test_small_pieces.py and test_message_memory.py; endless_chunks makes its chunked form. Every assertion and literal is as it was.

--- a/packages/ragwortpaddled/src/ragwortpaddled/transport/_read_allowance.py
+++ b/packages/ragwortpaddled/src/ragwortpaddled/transport/_read_allowance.py
@@ -10,7 +10,7 @@
 import time
 from weakref import WeakKeyDictionary
 
-# Messages in pieces of a usual size stay below the earned share, so their readers never wait.
+# A stream of events of usual size stays below the earned share; a long body takes a few turns.
 EARNED_SHARE = 0.02  # of the time that passes
 MAX_ALLOWANCE_SECONDS = 0.0005  # many connections may use it in the same iteration of the loop
 TURN_SECONDS = 0.002
--- a/tests/endless_messages.py
+++ b/tests/endless_messages.py
@@ -40,37 +40,50 @@
 
 
 class EndlessServer:
-    """Answers the first request of each connection with a head and a piece without end."""
+    """Answers each request with a head, then repeats some bytes until the client disconnects."""
 
-    def __init__(self, piece: bytes, status: int = 200) -> None:
+    def __init__(self, head: bytes, repeated: bytes, pause_seconds: float = 0.0) -> None:
         self.address = ""
         self.answered = 0
-        self._head = HEAD % status
-        self._block = chunk(piece) * max(1, BLOCK_BYTES // len(chunk(piece)))
+        self.disconnected = asyncio.Event()
+        self._head = head
+        self._repeated = repeated
+        self._pause_seconds = pause_seconds
 
     async def __aenter__(self) -> "EndlessServer":
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.address = "{}:{}".format(*self._server.sockets[0].getsockname()[:2])
+        await self.start()
         return self
 
     async def __aexit__(self, *_: object) -> None:
-        self._server.close()
+        self._listener.close()
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def start(self) -> str:
+        """Listen and return the address."""
+        self._listener = await asyncio.start_server(self._respond, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self._listener.sockets[0].getsockname()[1]}"
+        return self.address
+
+    async def _respond(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             await reader.readuntil(b"\r\n\r\n")
             self.answered += 1
             writer.write(self._head)
             while True:
-                writer.write(self._block)
+                writer.write(self._repeated)
                 await writer.drain()
-                await asyncio.sleep(0)
+                await asyncio.sleep(self._pause_seconds)
         except (ConnectionError, asyncio.IncompleteReadError):
-            pass
+            self.disconnected.set()
         finally:
             writer.transport.abort()
 
 
+def endless_chunks(piece: bytes, status: int = 200) -> EndlessServer:
+    """Return a server that repeats a piece as a chunk, in blocks of many."""
+    block = chunk(piece) * max(1, BLOCK_BYTES // len(chunk(piece)))
+    return EndlessServer(HEAD % status, block)
+
+
 async def close_client(client: Http1Client | HttpClient) -> None:
     """Close a client of either interface."""
     if isinstance(client, HttpClient):
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -17,6 +17,7 @@
 from typing import Any
 
 import pytest
+from endless_messages import EndlessServer
 from ragwortpaddle_standins.fleet import free_address
 from ragwortpaddled.errors import NotSentError, ReplyLostError, ReplyTimeoutError
 from ragwortpaddled.transport import (
@@ -947,32 +948,6 @@
         listener.close()
 
 
-class EndlessServer:
-    """Answers each request with a head, then repeats some bytes until the client disconnects."""
-
-    def __init__(self, head: bytes, repeated: bytes, pause_seconds: float = 0.0) -> None:
-        self._head = head
-        self._repeated = repeated
-        self._pause_seconds = pause_seconds
-        self.disconnected = asyncio.Event()
-
-    async def start(self) -> str:
-        """Listen and return the address."""
-        self._listener = await asyncio.start_server(self._respond, "127.0.0.1", 0)
-        return f"127.0.0.1:{self._listener.sockets[0].getsockname()[1]}"
-
-    async def _respond(self, reader, writer) -> None:
-        await reader.readuntil(b"\r\n\r\n")
-        writer.write(self._head)
-        try:
-            while True:
-                writer.write(self._repeated)
-                await writer.drain()
-                await asyncio.sleep(self._pause_seconds)
-        except ConnectionError:
-            self.disconnected.set()
-
-
 class TestEndlessReplies:
     """A faulty server sends bytes that are no answer until its client closes the connection."""
 
--- a/tests/test_message_memory.py
+++ b/tests/test_message_memory.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterator
 
 import pytest
-from endless_messages import EndlessServer, close_client, upload
+from endless_messages import close_client, endless_chunks, upload
 from ragwortpaddle_standins.relay_platform import EVENT_STREAM
 from ragwortpaddled.errors import ReplyLostError
 from ragwortpaddled.transport import (
@@ -111,7 +111,7 @@
             with pytest.raises(ReplyLostError):
                 await client.exchange("GET", f"http://{address}/", timeout_seconds=TIMEOUT_SECONDS)
 
-        async with EndlessServer(PIECE, 500) as server:
+        async with endless_chunks(PIECE, 500) as server:
             reads = [asyncio.create_task(read_endless(server.address)) for _ in range(CONNECTIONS)]
             for _ in range(3):
                 url = f"http://{sound.address}/"
--- a/tests/test_small_pieces.py
+++ b/tests/test_small_pieces.py
@@ -9,7 +9,7 @@
 from functools import partial
 
 import pytest
-from endless_messages import HEAD, EndlessServer, LoopWatch, chunk, close_client, upload
+from endless_messages import HEAD, LoopWatch, chunk, close_client, endless_chunks, upload
 from ragwortpaddle_standins.relay_platform import EVENT_STREAM
 from ragwortpaddled.errors import ReplyLostError, ReplyTimeoutError
 from ragwortpaddled.relay import RelayDaemon
@@ -41,7 +41,7 @@
             with pytest.raises((ReplyTimeoutError, ReplyLostError)):
                 await client.exchange("GET", f"http://{address}/", timeout_seconds=READ_SECONDS)
 
-        async with EndlessServer(piece) as server, LoopWatch() as watch:
+        async with endless_chunks(piece) as server, LoopWatch() as watch:
             await asyncio.gather(*(read(server.address) for _ in range(CONNECTIONS)))
             assert server.answered == CONNECTIONS
         assert watch.longest_seconds < MAX_WAIT_SECONDS
@@ -59,7 +59,7 @@
 
         sound, pool = Http1Server("127.0.0.1:0", answer), Http1Pool()
         await sound.start()
-        async with EndlessServer(b"x") as server:
+        async with endless_chunks(b"x") as server:
             endless = [await pool.acquire(server.address, fresh=True) for _ in range(CONNECTIONS)]
             for connection in endless:
                 await connection.send(b"GET", b"/", [(b"Host", b"h")], b"")
@@ -141,7 +141,7 @@
         self, tmp_path, status: int, forwarded: bool
     ) -> None:
         """Small pieces from a service, also relayed by a peer, while an engine streams."""
-        async with RelayTestBed(tmp_path) as testbed, EndlessServer(b"x", status) as server:
+        async with RelayTestBed(tmp_path) as testbed, endless_chunks(b"x", status) as server:
             daemon = testbed.daemon
             assert daemon is not None
             for desk in testbed.desks:
